--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,41 @@
+//! One type for each kind of id, so that none can stand in for another.
+
+use std::fmt;
+use std::rc::Rc;
+
+macro_rules! name_ids {
+    ($($id:ident),*) => {$(
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $id(Rc<str>);
+
+        impl From<&str> for $id {
+            fn from(text: &str) -> Self {
+                $id(text.into())
+            }
+        }
+
+        impl fmt::Display for $id {
+            fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+macro_rules! number_ids {
+    ($($id:ident($number:ty)),*) => {$(
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $id(pub $number);
+    )*};
+}
+
+name_ids!(ViewingId, ServerId, TitleId, Zone, Kind);
+number_ids!(
+    PackageIx(usize),
+    TenantIx(usize),
+    Rung(usize),
+    ManagerIx(u64),
+    Cell(u64),
+    Rack(u64)
+);
+number_ids!(TuneInNo(usize), BellTag(u64));
