--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,14 +14,15 @@
 
 /// Normal point of the root margin, for held counts.
 const PHI: f64 = 0.2;
-/// Part of a link or uplink that may be asked; shares under 98 in 100 are what viewers notice.
-const FILL: f64 = 0.94;
-/// A step up must fit with this much of the capacity.
-const UP_FILL: f64 = 0.97;
+/// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
+/// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
+const FILL: f64 = 0.92;
+const DOWN_FILL: f64 = 1.0;
+const UP_FILL: f64 = 0.85;
 /// Between two steps down at a server, over the time between reports.
 const DOWN_PACE: f64 = 0.05;
 /// How long a server must have been settled before a step up, over the time between reports.
-const SETTLED: f64 = 0.5;
+const SETTLED: f64 = 1.5;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
 /// A tune-in that another can follow waits for this part of the join target.
@@ -356,7 +357,7 @@
                 continue;
             }
             let held = self.askers(&id);
-            if self.bound(&held.iter().map(|it| it.1).collect::<Vec<_>>()) <= self.capacity(&id) {
+            if self.bound(&held.iter().map(|it| it.1).collect::<Vec<_>>()) <= self.capacity(&id, DOWN_FILL) {
                 continue;
             }
             let playing = held
@@ -397,7 +398,7 @@
             };
             let mut after: Vec<Asker> = held.iter().map(|it| it.1).collect();
             after[ix].rung = Rung(asker.rung.0 + 1);
-            if self.bound(&after) > self.capacity(&id) * UP_FILL {
+            if self.bound(&after) > self.capacity(&id, UP_FILL) {
                 continue;
             }
             let (vw, rung, now) = (vw.clone(), after[ix].rung, self.now);
@@ -703,7 +704,7 @@
         let mine = self.asker(viewing);
         let mut askers: Vec<Asker> = self.askers(server).into_iter().map(|it| it.1).collect();
         askers.push(mine);
-        self.split(&mut askers, self.capacity(server));
+        self.split(&mut askers, self.capacity(server, FILL));
         let same =
             |it: &&Asker| (it.package, it.best, it.over_share) == (mine.package, mine.best, mine.over_share);
         let rungs: Vec<Rung> = askers.iter().filter(same).map(|it| it.rung).collect();
@@ -725,8 +726,8 @@
         let link = lowest(&|it| it == server);
         let uplink = lowest(&|it| self.servers.get(it).is_some_and(|it| self.rack(it) == rack));
         let parts = self.terms.managers.max(1.0);
-        link <= self.link_claim(server).max(self.link_kb(server) / parts)
-            && uplink <= self.uplink_claim(rack).max(self.terms.uplink_kb / parts)
+        link <= self.link_claim(server, DOWN_FILL).max(self.link_kb(server) / parts)
+            && uplink <= self.uplink_claim(rack, DOWN_FILL).max(self.terms.uplink_kb / parts)
     }
 
     fn rack(&self, server: &Server) -> Rack {
@@ -749,18 +750,18 @@
 
     /// What this manager may use of a link: the told capacity less others' use. Free room is shared among the
     /// managers, who all see the same note; what is missing is given up by each in proportion.
-    fn claim(&self, told: f64, seen: Option<Seen>, own_now: f64, guess: f64) -> f64 {
+    fn claim(&self, told: f64, seen: Option<Seen>, own_now: f64, guess: f64, fill: f64) -> f64 {
         let fresh =
             seen.filter(|it| self.now - it.at < self.terms.reports_every * STALE + self.terms.seen_after);
         let (asked, own) = fresh.map_or((guess, own_now), |it| (it.asked, it.own_kb));
         // More of one's own than the whole that is seen: the link is larger than told, or titles run low.
         let capacity = if asked > 0.0 { told.max(own / asked) } else { told };
         let total = asked * capacity;
-        let room = capacity * FILL - total;
+        let room = capacity * fill - total;
         if room >= 0.0 {
             own + room / self.terms.managers.max(1.0)
         } else {
-            own * capacity * FILL / total
+            own * capacity * fill / total
         }
     }
 
@@ -779,29 +780,29 @@
         }
     }
 
-    fn link_claim(&self, server: &ServerId) -> f64 {
+    fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
         let it = &self.servers[server];
-        self.claim(self.link_kb(server), it.seen, it.own_kb, self.guess())
+        self.claim(self.link_kb(server), it.seen, it.own_kb, self.guess(), fill)
     }
 
-    fn uplink_claim(&self, rack: Rack) -> f64 {
+    fn uplink_claim(&self, rack: Rack, fill: f64) -> f64 {
         let own = self.own_in(rack);
         let seen = self.uplinks.get(&rack).and_then(|it| it.seen);
         let guess = (own * self.terms.managers / self.terms.uplink_kb.max(1.0)).min(FILL);
-        self.claim(self.terms.uplink_kb, seen, own, guess)
+        self.claim(self.terms.uplink_kb, seen, own, guess, fill)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
-    fn capacity(&self, server: &ServerId) -> f64 {
+    fn capacity(&self, server: &ServerId, fill: f64) -> f64 {
         let it = &self.servers[server];
         let rack = self.rack(it);
-        let (claim, own) = (self.uplink_claim(rack), self.own_in(rack));
+        let (claim, own) = (self.uplink_claim(rack, fill), self.own_in(rack));
         let share = if claim >= own {
             it.own_kb + claim - own
         } else {
             it.own_kb * claim / own
         };
-        self.link_claim(server).min(share)
+        self.link_claim(server, fill).min(share)
     }
 
     /// Part of a holder's link or uplink that is asked, whichever is fuller.
