Weigh each server and look at each held viewing once a beat

Cause: every input weighed every server and every waiting viewing, so 6,000 requests at once took over 10 s.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -27,19 +27,14 @@
 
 impl<'a> Values<'a> {
     fn of(line: &'a str) -> Self {
-        Values {
-            line,
-            rest: Some(line),
-        }
+        Values { line, rest: Some(line) }
     }
 
     fn text(&mut self, expected: &str) -> Read<&'a str> {
         let Some(rest) = self.rest.filter(|rest| !rest.is_empty()) else {
             return wanted(self.line, expected);
         };
-        let (value, rest) = rest
-            .split_once(' ')
-            .map_or((rest, None), |(value, rest)| (value, Some(rest)));
+        let (value, rest) = rest.split_once(' ').map_or((rest, None), |(value, rest)| (value, Some(rest)));
         self.rest = rest;
         Ok(value)
     }
@@ -67,8 +62,7 @@
     }
 
     fn end(self) -> Read<()> {
-        self.rest
-            .map_or(Ok(()), |rest| wanted(rest, "the end of the line"))
+        self.rest.map_or(Ok(()), |rest| wanted(rest, "the end of the line"))
     }
 }
 
@@ -94,9 +88,7 @@
 fn load(pairs: &str) -> Read<Load> {
     let mut load = Load::default();
     for pair in pairs.split(',').filter(|pair| !pair.is_empty() && *pair != "-") {
-        let read = pair
-            .split_once(':')
-            .and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
+        let read = pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
         match read {
             None => return wanted(pair, "name:value"),
             Some(("outstanding", value)) => load.streams = Some(value),
@@ -125,10 +117,7 @@
             other => return wanted(other, "U, L or D"),
         },
         server: values.text("server")?.into(),
-        started: values
-            .optional::<i64>("started-at-ns")?
-            .filter(|ns| *ns > 0)
-            .map(ms),
+        started: values.optional::<i64>("started-at-ns")?.filter(|ns| *ns > 0).map(ms),
         weight: values.optional("capacity-hint")?.unwrap_or(1.0),
         zone: values.text("az")?.into(),
     };
@@ -216,22 +205,14 @@
     /// Carries out one event; the module's panic becomes a PANIC line.
     fn event<W: Write>(&mut self, name: &str, mut values: Values, now: Ms, to: &mut W) -> Read<()> {
         let instance = values.text("manager-id")?;
-        let mut reply = Reply {
-            to,
-            instance,
-            failed: false,
-        };
-        let told = catch_unwind(AssertUnwindSafe(|| {
-            self.tell(name, values, now, instance, &mut reply)
-        }));
+        let mut reply = Reply { to, instance, failed: false };
+        let told = catch_unwind(AssertUnwindSafe(|| self.tell(name, values, now, instance, &mut reply)));
         if reply.failed {
             return Err("the reply could not be written to standard output".to_string());
         }
         told.unwrap_or_else(|panic| {
             let what = panic.downcast_ref::<&str>().copied();
-            let what = what
-                .or(panic.downcast_ref::<String>().map(String::as_str))
-                .unwrap_or("unknown cause");
+            let what = what.or(panic.downcast_ref::<String>().map(String::as_str)).unwrap_or("unknown cause");
             reply.line("PANIC", format_args!(" {}", what.replace('\n', " ")));
             Ok(())
         })
@@ -251,10 +232,7 @@
             let conf = serde_json::from_str(conf)
                 .or_else(|trouble| wanted(conf, &format!("a settings object ({trouble})")))?;
             self.ever_born.insert(instance.to_string());
-            self.brains.insert(
-                instance.to_string(),
-                Brain::born(now, seed, read_terms(&conf), out),
-            );
+            self.brains.insert(instance.to_string(), Brain::born(now, seed, read_terms(&conf), out));
             return Ok(());
         }
         if name == "CRASH_NOW" {
@@ -306,20 +284,7 @@
                     return wanted(priority, "a class of the settings");
                 };
                 let tenant = tenant(brain, owner);
-                brain.incoming(
-                    now,
-                    Wish {
-                        vw,
-                        package,
-                        tenant,
-                        title,
-                        base,
-                        copies,
-                        best,
-                        due,
-                    },
-                    out,
-                );
+                brain.incoming(now, Wish { vw, package, tenant, title, base, copies, best, due }, out);
             }
             "PREEXISTING" => {
                 let vw = values.text("handle")?.into();
@@ -339,16 +304,7 @@
                     return wanted(priority, "a class of the settings");
                 };
                 let tenant = tenant(brain, owner);
-                let wish = Wish {
-                    vw,
-                    package,
-                    tenant,
-                    title,
-                    base,
-                    copies,
-                    best,
-                    due,
-                };
+                let wish = Wish { vw, package, tenant, title, base, copies, best, due };
                 brain.preexisting(now, wish, server, out);
             }
             "CHANGE" => {
@@ -376,10 +332,10 @@
             "FIRST" => {
                 let vw = values.text("handle")?.into();
                 values.optional::<i64>("elapsed-ns")?;
-                let no = TuneInNo(values.number("leg")?);
-                values.text("server")?;
+                values.optional::<u64>("leg")?;
+                let server = values.text("server")?.into();
                 values.end()?;
-                brain.first(now, &vw, no, out);
+                brain.first(now, &vw, &server, out);
             }
             "ANSWER" => {
                 let vw = values.text("handle")?.into();
@@ -453,11 +409,7 @@
 }
 
 pub fn serve<R: BufRead, W: Write>(input: R, to: &mut W) -> Read<()> {
-    let mut lines = Lines {
-        input,
-        count: 0,
-        line: String::new(),
-    };
+    let mut lines = Lines { input, count: 0, line: String::new() };
     batches(&mut lines, to).map_err(|trouble| format!("line {}: {trouble}", lines.count))
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,8 @@
 };
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Normal point of the root margin, for held counts.
 const PHI: f64 = 0.2;
@@ -19,8 +20,6 @@
 const FILL: f64 = 0.92;
 const DOWN_FILL: f64 = 1.0;
 const UP_FILL: f64 = 0.85;
-/// Between two steps down at a server, over the time between reports.
-const DOWN_PACE: f64 = 0.05;
 /// How long a server must have been settled before a step up, over the time between reports.
 const SETTLED: f64 = 1.5;
 /// A note older than this many report times counts no more.
@@ -29,7 +28,7 @@
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
 const CROSS_HANDICAP: f64 = 5.0;
-/// Wake-ups, over the shortest join target.
+/// Each server is weighed, and each held viewing looked at, once in this part of the shortest join target.
 const BEAT: f64 = 0.1;
 /// A first failure keeps a server out of the pick for this many join targets; each further one doubles it.
 const SHUN: f64 = 1.0;
@@ -37,15 +36,8 @@
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
 /// Each is a condition and an effect; it tells whether it fired.
-const RULES: [Rule; 7] = [
-    Brain::forget_ended,
-    Brain::end_overdue,
-    Brain::give_up,
-    Brain::tune_in,
-    Brain::step_down,
-    Brain::step_up,
-    Brain::keep_awake,
-];
+const RULES: [Rule; 6] =
+    [Brain::end_overdue, Brain::give_up, Brain::tune_in, Brain::hold, Brain::step, Brain::keep_awake];
 
 /// A multiply-with-carry generator.
 struct Chance(u64);
@@ -75,6 +67,8 @@
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<Rack, Uplink>,
     viewings: BTreeMap<ViewingId, Viewing>,
+    /// Viewings without a tune-in out, by when they are looked at again.
+    waiting: BTreeSet<(Ms, ViewingId)>,
     arrivals: Vec<DecayingSum>,
     taken: Vec<Ms>,
     further: Vec<Ms>,
@@ -93,6 +87,7 @@
             servers: BTreeMap::new(),
             uplinks: BTreeMap::new(),
             viewings: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
             taken: Vec::new(),
             further: Vec::new(),
@@ -102,19 +97,11 @@
     }
 
     pub fn package_named(&self, name: &str) -> Option<PackageIx> {
-        self.terms
-            .packages
-            .iter()
-            .position(|package| package.name == name)
-            .map(PackageIx)
+        self.terms.packages.iter().position(|package| package.name == name).map(PackageIx)
     }
 
     pub fn tenant_named(&self, name: &str) -> Option<TenantIx> {
-        self.terms
-            .tenants
-            .iter()
-            .position(|tenant| tenant.name == name)
-            .map(TenantIx)
+        self.terms.tenants.iter().position(|tenant| tenant.name == name).map(TenantIx)
     }
 
     // Inputs.
@@ -131,9 +118,7 @@
             _ => {}
         }
         for entry in entries {
-            let cold_until = entry
-                .started
-                .map_or(Ms::LONG_AGO, |start| start + self.terms.cold.lasts);
+            let cold_until = entry.started.map_or(Ms::LONG_AGO, |start| start + self.terms.cold.lasts);
             match self.servers.get_mut(&entry.server) {
                 Some(server) => {
                     if server.entry.started < entry.started {
@@ -144,8 +129,7 @@
                     server.entry = entry.clone();
                 }
                 None => {
-                    self.servers
-                        .insert(entry.server.clone(), Server::new(entry.clone(), cold_until));
+                    self.servers.insert(entry.server.clone(), Server::new(entry.clone(), cold_until));
                 }
             }
         }
@@ -154,18 +138,16 @@
 
     pub fn preexisting(&mut self, now: Ms, wish: Wish, server: ServerId, out: &mut dyn Answers) {
         self.now = now;
-        let tune_in = TuneIn {
-            server: server.clone(),
-            sent: now,
-            outcome: None,
-        };
+        let tune_in = TuneIn { server, sent: now, outcome: None };
         self.take(wish, Phase::Playing, vec![tune_in]);
-        self.book(&server);
         self.settle(out);
     }
 
     pub fn incoming(&mut self, now: Ms, wish: Wish, out: &mut dyn Answers) {
         self.now = now;
+        let span = self.terms.budget.map_or(Ms(0.0), |it| it.span);
+        self.taken.retain(|at| now - *at <= span);
+        self.further.retain(|at| now - *at <= span);
         self.taken.push(now);
         out.schedule(BellTag(1), wish.due);
         self.take(wish, Phase::Waiting, Vec::new());
@@ -177,20 +159,16 @@
         self.settle(out);
     }
 
-    pub fn first(&mut self, now: Ms, vw: &ViewingId, no: TuneInNo, out: &mut dyn Answers) {
+    pub fn first(&mut self, now: Ms, vw: &ViewingId, server: &ServerId, out: &mut dyn Answers) {
         self.now = now;
-        if let Some(viewing) = self.viewings.get_mut(vw) {
-            if viewing.phase != Phase::Over {
-                viewing.phase = Phase::Playing;
-            }
-            viewing.started = now;
-            if let Some(server) = viewing
-                .tune_ins
-                .get(no.0)
-                .and_then(|it| self.servers.get_mut(&it.server))
-            {
-                server.well(now, &self.terms);
+        self.amend(vw, |it| {
+            it.started = now;
+            if it.phase != Phase::Over {
+                it.phase = Phase::Playing;
             }
+        });
+        if let Some(server) = self.servers.get_mut(server) {
+            well(server, now, &self.terms);
         }
         self.settle(out);
     }
@@ -209,17 +187,13 @@
     ) {
         self.now = now;
         self.judge(server, outcome);
-        if let Some(viewing) = self.viewings.get_mut(vw) {
-            if let Some(tune_in) = viewing.tune_ins.get_mut(no.0) {
+        self.amend(vw, |it| {
+            if let Some(tune_in) = it.tune_ins.get_mut(no.0) {
                 tune_in.outcome = Some(outcome);
             }
-            viewing.phase = match viewing.phase {
-                _ if last => Phase::Over,
-                Phase::Over => Phase::Over,
-                _ => Phase::Waiting,
-            };
-        }
-        self.book(server);
+            it.look_at = now;
+            it.phase = if last || it.phase == Phase::Over { Phase::Over } else { Phase::Waiting };
+        });
         self.note_load(server, load);
         self.settle(out);
     }
@@ -235,17 +209,11 @@
     ) {
         self.now = now;
         // At set-up a note tells of now, else of some time ago.
-        let fresh = self
-            .viewings
-            .get(vw)
-            .is_none_or(|it| it.phase != Phase::Playing || it.started == now);
+        let fresh = self.viewings.get(vw).is_none_or(|it| it.phase != Phase::Playing || it.started == now);
         let at = if fresh { now } else { now - self.terms.seen_after };
         match topic {
             Topic::RungInForce => {
-                if let Some(viewing) = self.viewings.get_mut(vw) {
-                    viewing.rung = Rung(value.max(0.0) as usize);
-                }
-                self.book(server);
+                self.amend(vw, |it| it.rung = Rung(value.max(0.0) as usize));
             }
             Topic::ShareDelivered => self.note_delivered(server, value, at),
             Topic::LinkAsked => self.note_link(server, value, at),
@@ -256,9 +224,7 @@
 
     pub fn dropped(&mut self, now: Ms, vw: &ViewingId, out: &mut dyn Answers) {
         self.now = now;
-        if let Some(viewing) = self.viewings.get_mut(vw) {
-            viewing.phase = Phase::Over;
-        }
+        self.amend(vw, |it| it.phase = Phase::Over);
         self.settle(out);
     }
 
@@ -280,35 +246,33 @@
 
     // Rules.
 
-    fn forget_ended(&mut self, _out: &mut dyn Answers) -> bool {
-        let before = self.viewings.len();
-        self.viewings.retain(|_, it| it.phase != Phase::Over || it.out());
-        before != self.viewings.len()
-    }
-
     /// Rule 1: a viewing with nothing out whose patience ends is answered now.
     fn end_overdue(&mut self, out: &mut dyn Answers) -> bool {
-        let overdue = self.waiting(|brain, it| brain.now >= it.wish.due);
-        overdue.is_some_and(|vw| self.finish(&vw, out))
+        let vw = self.waiting_now().filter(|vw| self.now >= self.viewings[vw].wish.due);
+        vw.is_some_and(|vw| self.finish(&vw, out))
     }
 
-    /// What can't be tuned in any more, or has waited in vain for its join target, gets its answer at once.
+    /// What can't be tuned in any more, finds no room, or has waited in vain for its join target, gets its
+    /// answer at once.
     fn give_up(&mut self, out: &mut dyn Answers) -> bool {
-        let hopeless = self.waiting(|brain, it| {
-            !brain.may_tune_in(it)
-                || (brain.eligible(it).is_empty()
-                    && (brain.now - it.taken >= brain.package(it).join_target || !brain.may_hope(it)))
+        let vw = self.waiting_now().filter(|vw| {
+            let it = &self.viewings[vw];
+            let late = self.now - it.taken >= self.package(it).join_target;
+            !self.may_tune_in(it) || (self.eligible(it).is_empty() && (late || !self.may_hope(it)))
         });
-        hopeless.is_some_and(|vw| self.finish(&vw, out))
+        vw.is_some_and(|vw| self.finish(&vw, out))
     }
 
     /// The ordinary path: two holders at random, the less used of them, a rung drawn by its split.
     fn tune_in(&mut self, out: &mut dyn Answers) -> bool {
-        let Some(vw) = self.waiting(|brain, it| brain.may_tune_in(it) && !brain.eligible(it).is_empty())
-        else {
+        let Some(vw) = self.waiting_now() else {
             return false;
         };
         let mut holders = self.eligible(&self.viewings[&vw]);
+        if holders.is_empty() {
+            return false;
+        }
+        let others = holders.len() > 1;
         let one = holders.swap_remove(self.chance.below(holders.len()));
         let server = match holders.len() {
             0 => one,
@@ -321,105 +285,85 @@
                 }
             }
         };
-        let rung = self.draw(&self.viewings[&vw].clone(), &server);
-        let time_out = self.time_out(&self.viewings[&vw], &server);
+        let viewing = self.viewings[&vw].clone();
+        let rung = self.draw(&viewing, &server);
+        if viewing.rung != rung {
+            out.step_to(&vw, rung);
+        }
+        out.relay(&vw, &server, self.time_out(&viewing, others));
         let now = self.now;
-        if let Some(viewing) = self.viewings.get_mut(&vw) {
-            if viewing.rung != rung {
-                out.step_to(&vw, rung);
-            }
-            viewing.rung = rung;
-            viewing.phase = Phase::TuningIn;
-            if !viewing.tune_ins.is_empty() {
-                self.further.push(now);
-            }
-            viewing.tune_ins.push(TuneIn {
-                server: server.clone(),
-                sent: now,
-                outcome: None,
-            });
+        if !viewing.tune_ins.is_empty() {
+            self.further.push(now);
         }
         if let Some(server) = self.servers.get_mut(&server) {
+            server.sent.retain(|at| now - *at <= self.terms.cold.fall_window);
             server.sent.push(now);
         }
-        out.relay(&vw, &server, time_out);
-        self.book(&server);
+        self.amend(&vw, |it| {
+            it.rung = rung;
+            it.phase = Phase::TuningIn;
+            it.tune_ins.push(TuneIn { server, sent: now, outcome: None });
+        });
         true
     }
 
-    /// While the bound is broken at a server, its top-rung viewings step down, at a pace.
-    fn step_down(&mut self, out: &mut dyn Answers) -> bool {
-        let pace = self.terms.reports_every * DOWN_PACE;
-        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
-        for id in ids {
-            let server = &self.servers[&id];
-            if server.own_kb <= 0.0 || self.now - server.last_step < pace {
-                continue;
-            }
-            let held = self.askers(&id);
-            if self.bound(&held.iter().map(|it| it.1).collect::<Vec<_>>()) <= self.capacity(&id, DOWN_FILL) {
-                continue;
-            }
-            let playing = held
-                .into_iter()
-                .filter(|it| self.viewings[&it.0].phase == Phase::Playing);
-            let top = playing
-                .filter(|it| it.1.rung > self.terms.packages[it.1.package.0].floor)
-                .max_by(|a, b| self.moves_first(&a.1, &b.1));
-            let now = self.now;
-            let server = self.servers.get_mut(&id).expect("listed above");
-            server.tight_at = now;
-            if let Some((vw, asker)) = top {
-                server.last_step = now;
-                self.set_rung(&vw, Rung(asker.rung.0 - 1), out);
-                return true;
-            }
-        }
-        false
+    /// All holders are shunned, paced or without a seat: look again after a beat.
+    fn hold(&mut self, _out: &mut dyn Answers) -> bool {
+        let next = self.now + self.beat();
+        let vw = self.waiting_now();
+        vw.is_some_and(|vw| {
+            self.amend(&vw, |it| it.look_at = next.min(it.wish.due));
+            true
+        })
     }
 
-    /// Once a whole step fits for a settled spell, the viewing furthest below its request steps up.
-    fn step_up(&mut self, out: &mut dyn Answers) -> bool {
-        let spell = self.terms.reports_every * SETTLED;
-        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
-        for id in ids {
-            let server = &self.servers[&id];
-            if server.own_kb <= 0.0 || self.now - server.tight_at.max(server.last_step) < spell {
-                continue;
-            }
-            let held = self.askers(&id);
-            let below = held
-                .iter()
-                .enumerate()
-                .filter(|(_, it)| self.viewings[&it.0].phase == Phase::Playing && it.1.rung < it.1.best)
-                .min_by(|a, b| self.moves_first(&a.1 .1, &b.1 .1));
-            let Some((ix, (vw, asker))) = below else {
-                continue;
+    /// Each server is weighed once a beat. While the bound is broken, its top-rung viewing steps down; once a
+    /// whole step fits for a settled spell, the one furthest below its request steps up.
+    fn step(&mut self, out: &mut dyn Answers) -> bool {
+        let due = |it: &(&ServerId, &Server)| it.1.look_at <= self.now && !it.1.held.is_empty();
+        let Some(id) = self.servers.iter().find(due).map(|it| it.0.clone()) else {
+            return false;
+        };
+        let (now, next) = (self.now, self.now + self.beat());
+        let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
+        let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
+        let broken = self.bound(&held) > self.capacity(&id, DOWN_FILL);
+        let settled = now - self.servers[&id].unsettled_at >= self.terms.reports_every * SETTLED;
+        let changed = if broken {
+            let may = |ix: &usize| held[*ix].rung > self.terms.packages[held[*ix].package.0].floor;
+            let top = (0..held.len()).filter(playing).filter(may);
+            let top = top.max_by(|a, b| self.goes_down(&held[*a], &held[*b]));
+            top.map(|ix| (ix, held[ix].rung.0 - 1))
+        } else if settled {
+            let low = (0..held.len()).filter(playing).filter(|ix| held[*ix].rung < held[*ix].best);
+            let low = low.max_by(|a, b| self.goes_up(&held[*a], &held[*b]));
+            let fits = |ix: &usize| {
+                let mut after = held.clone();
+                after[*ix].rung.0 += 1;
+                self.bound(&after) <= self.capacity(&id, UP_FILL)
             };
-            let mut after: Vec<Asker> = held.iter().map(|it| it.1).collect();
-            after[ix].rung = Rung(asker.rung.0 + 1);
-            if self.bound(&after) > self.capacity(&id, UP_FILL) {
-                continue;
+            low.filter(fits).map(|ix| (ix, held[ix].rung.0 + 1))
+        } else {
+            None
+        };
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.look_at = next;
+            if broken || changed.is_some() {
+                server.unsettled_at = now;
             }
-            let (vw, rung, now) = (vw.clone(), after[ix].rung, self.now);
-            self.servers.get_mut(&id).expect("listed above").last_step = now;
-            self.set_rung(&vw, rung, out);
-            return true;
         }
-        false
+        if let Some((ix, rung)) = changed {
+            out.step_to(&names[ix], Rung(rung));
+            self.amend(&names[ix], |it| it.rung = Rung(rung));
+        }
+        true
     }
 
     fn keep_awake(&mut self, out: &mut dyn Answers) -> bool {
         if self.viewings.is_empty() || self.bell_at.is_some_and(|at| self.now < at) {
             return false;
         }
-        let shortest = self
-            .terms
-            .packages
-            .iter()
-            .map(|it| it.join_target)
-            .fold(Ms(1e3), Ms::min);
-        let at = self.now + (shortest * BEAT).max(self.terms.tick).max(Ms(1.0));
+        let at = self.now + self.beat();
         out.schedule(BellTag(0), at);
         self.bell_at = Some(at);
         true
@@ -436,18 +380,18 @@
         let over_share = wish.tenant.is_some_and(|tenant| self.over_share(tenant));
         let (taken, started) = (self.now, Ms::LONG_AGO);
         let vw = wish.vw.clone();
-        self.viewings.insert(
-            vw,
-            Viewing {
-                wish,
-                taken,
-                phase,
-                rung,
-                started,
-                tune_ins,
-                over_share,
-            },
-        );
+        let viewing = Viewing {
+            wish,
+            taken,
+            phase: Phase::Over,
+            rung,
+            started,
+            tune_ins: Vec::new(),
+            over_share,
+            look_at: taken,
+        };
+        self.viewings.insert(vw.clone(), viewing);
+        self.amend(&vw, |it| (it.phase, it.tune_ins) = (phase, tune_ins));
     }
 
     /// Counts an arrival; true while a tenant's viewings come faster than its share allows.
@@ -459,30 +403,65 @@
         rate > self.terms.tenants[tenant.0].allowance_per_s
     }
 
-    fn waiting(&self, holds: impl Fn(&Brain, &Viewing) -> bool) -> Option<ViewingId> {
-        let mut waiting = self.viewings.iter().filter(|(_, it)| it.phase == Phase::Waiting);
-        waiting.find(|(_, it)| holds(self, it)).map(|(vw, _)| vw.clone())
+    /// Changes a viewing and keeps in step what is counted of it: the waiting, a server's held and its rates.
+    fn amend(&mut self, vw: &ViewingId, change: impl FnOnce(&mut Viewing)) {
+        let Some(mut viewing) = self.viewings.remove(vw) else {
+            return;
+        };
+        self.count(&viewing, -1.0);
+        self.waiting.remove(&(viewing.look_at, vw.clone()));
+        change(&mut viewing);
+        self.count(&viewing, 1.0);
+        if viewing.phase == Phase::Waiting {
+            self.waiting.insert((viewing.look_at, vw.clone()));
+        }
+        if viewing.phase != Phase::Over || viewing.out() {
+            self.viewings.insert(vw.clone(), viewing);
+        }
+    }
+
+    fn count(&mut self, viewing: &Viewing, sign: f64) {
+        let package = viewing.wish.package;
+        let rate = self.rate(package, viewing.rung) * sign;
+        let (now, keep) = (self.now, self.terms.seen_after * 2.0);
+        if let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) {
+            if sign > 0.0 {
+                server.held.insert(viewing.wish.vw.clone());
+            } else {
+                server.held.remove(&viewing.wish.vw);
+            }
+            *server.counts.entry(package).or_default() += sign;
+            server.own_kb = if server.held.is_empty() { 0.0 } else { server.own_kb + rate };
+            server.ledger.retain(|it| now - it.0 <= keep);
+            server.ledger.push((now, rate));
+        }
+    }
+
+    fn waiting_now(&self) -> Option<ViewingId> {
+        self.waiting.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone())
+    }
+
+    fn join_target(&self) -> Ms {
+        self.terms.packages.iter().map(|it| it.join_target).min().unwrap_or(Ms(1e3))
+    }
+
+    fn beat(&self) -> Ms {
+        (self.join_target() * BEAT).max(self.terms.tick).max(Ms(1.0))
     }
 
     /// The final answer: blocked where that is harmless, else aborted.
     fn finish(&mut self, vw: &ViewingId, out: &mut dyn Answers) -> bool {
-        let Some(viewing) = self.viewings.get_mut(vw) else {
-            return false;
-        };
-        viewing.phase = Phase::Over;
-        let package = &self.terms.packages[viewing.wish.package.0];
-        let harmless = match package.repeat {
-            Repeat::Idempotent
-            | Repeat::Deduplicated {
-                group: Group::All, ..
-            } => true,
-            _ => viewing.never_ran(),
+        let viewing = &self.viewings[vw];
+        let harmless = match self.package(viewing).repeat {
+            Repeat::Idempotent | Repeat::Deduplicated { group: Group::All, .. } => true,
+            _ => never_ran(viewing),
         };
         if harmless && self.now < viewing.wish.due {
             out.shed(vw, None);
         } else {
             out.abort(vw);
         }
+        self.amend(vw, |it| it.phase = Phase::Over);
         true
     }
 
@@ -492,7 +471,7 @@
         if count == 0 {
             return true;
         }
-        let safe = self.package(viewing).repeat != Repeat::AtMostOnce || viewing.never_ran();
+        let safe = self.package(viewing).repeat != Repeat::AtMostOnce || never_ran(viewing);
         let within = self.terms.budget.is_none_or(|budget| {
             let recent =
                 |times: &[Ms]| times.iter().filter(|at| self.now - **at < budget.span).count() as f64;
@@ -501,12 +480,10 @@
         safe && within && count < self.terms.max_tune_ins
     }
 
-    /// A holder that is only shunned or paced may be had again soon.
+    /// A holder that is only shunned or paced may be had again soon; one without room refuses.
     fn may_hope(&self, viewing: &Viewing) -> bool {
-        self.servers
-            .values()
-            .any(|it| it.entry.availability == Availability::Up && self.holds(it, &viewing.wish))
-            && self.seat_free(viewing)
+        let up = |it: &Server| it.entry.availability == Availability::Up && self.holds(it, &viewing.wish);
+        self.seat_free(viewing) && self.servers.iter().any(|(id, it)| up(it) && self.has_room(viewing, id))
     }
 
     fn holds(&self, server: &Server, wish: &Wish) -> bool {
@@ -551,7 +528,7 @@
         let Repeat::Deduplicated { group, window } = self.package(viewing).repeat else {
             return true;
         };
-        viewing.tune_ins.iter().filter(|it| it.may_have_run()).all(|it| {
+        viewing.tune_ins.iter().filter(|it| may_have_run(it)).all(|it| {
             let earlier = self.servers.get(&it.server).map(|it| &it.entry);
             self.now - it.sent < window
                 && match group {
@@ -584,9 +561,8 @@
         my_turn && all >= 2.0 && since(cold.fall_window * turn - Ms(1e-6)) + 1.0 <= (all / 2.0).floor()
     }
 
-    fn time_out(&self, viewing: &Viewing, server: &ServerId) -> Ms {
+    fn time_out(&self, viewing: &Viewing, others: bool) -> Ms {
         let left = viewing.wish.due - self.now;
-        let others = self.eligible(viewing).iter().any(|it| it != server);
         let again = viewing.tune_ins.len() + 1 < self.terms.max_tune_ins && others;
         if !again || self.package(viewing).repeat == Repeat::AtMostOnce {
             return left;
@@ -594,29 +570,14 @@
         (self.package(viewing).join_target * FIRST_WAIT).min(left)
     }
 
-    fn set_rung(&mut self, vw: &ViewingId, rung: Rung, out: &mut dyn Answers) {
-        if let Some(viewing) = self.viewings.get_mut(vw) {
-            viewing.rung = rung;
-            out.step_to(vw, rung);
-            if let Some(server) = viewing.place().cloned() {
-                self.book(&server);
-            }
-        }
-    }
-
     /// Takes note of how a tune-in, a viewing or a probe ended.
     fn judge(&mut self, server: &ServerId, outcome: Outcome) {
-        let join = self
-            .terms
-            .packages
-            .iter()
-            .map(|it| it.join_target)
-            .fold(Ms(1e3), Ms::min);
+        let join = self.join_target();
         let Some(server) = self.servers.get_mut(server) else {
             return;
         };
         match outcome {
-            Outcome::Served => server.well(self.now, &self.terms),
+            Outcome::Served => well(server, self.now, &self.terms),
             Outcome::TurnedAway => server.shunned_until = self.now + self.terms.reports_every * 0.5,
             Outcome::NoConnection | Outcome::ConnectionLost | Outcome::NoAnswer => {
                 if self.now >= server.shunned_until {
@@ -640,18 +601,13 @@
         let package = viewing.wish.package;
         let Viewing { rung, over_share, .. } = *viewing;
         let best = viewing.wish.best.min(self.package(viewing).top);
-        Asker {
-            package,
-            best,
-            rung,
-            over_share,
-        }
+        Asker { package, best, rung, over_share }
     }
 
     /// The viewings that a server holds or sets up for this manager.
     fn askers(&self, server: &ServerId) -> Vec<(ViewingId, Asker)> {
-        let there = self.viewings.iter().filter(|(_, it)| it.place() == Some(server));
-        there.map(|(vw, it)| (vw.clone(), self.asker(it))).collect()
+        let held = self.servers.get(server).into_iter().flat_map(|it| &it.held);
+        held.map(|vw| (vw.clone(), self.asker(&self.viewings[vw]))).collect()
     }
 
     /// Summed over rungs: rate x (count + phi x root of count).
@@ -660,40 +616,33 @@
         for asker in askers {
             *counts.entry((asker.package, asker.rung)).or_default() += 1.0;
         }
-        counts
-            .iter()
-            .map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt()))
-            .sum()
+        counts.iter().map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
     }
 
-    /// Who steps down first is greatest: over its tenant's share, then the top rung, then the lower value,
-    /// then the one least below its request.
-    fn moves_first(&self, a: &Asker, b: &Asker) -> std::cmp::Ordering {
+    /// Who goes down first is greatest: over its tenant's share, then the top rung, then the lower value, then
+    /// the one least below its request.
+    fn goes_down(&self, a: &Asker, b: &Asker) -> Ordering {
         let value = |it: &Asker| self.terms.packages[it.package.0].value;
-        let below = |it: &Asker| it.best.0.saturating_sub(it.rung.0);
-        a.over_share
-            .cmp(&b.over_share)
-            .then(below(b).cmp(&below(a)))
-            .then(a.rung.cmp(&b.rung))
-            .then(value(b).total_cmp(&value(a)))
+        let over = a.over_share.cmp(&b.over_share).then(a.rung.cmp(&b.rung));
+        over.then(value(b).total_cmp(&value(a))).then(below(b).cmp(&below(a)))
     }
 
-    /// Who the split moves down first: the top rung, over-share and lower value first.
+    /// Who goes up first is greatest: within its tenant's share, then furthest below its request, then value.
+    fn goes_up(&self, a: &Asker, b: &Asker) -> Ordering {
+        let value = |it: &Asker| self.terms.packages[it.package.0].value;
+        let within = b.over_share.cmp(&a.over_share).then(below(a).cmp(&below(b)));
+        within.then(value(a).total_cmp(&value(b)))
+    }
+
+    /// The design's split: those who go down first move a rung, one at a time, until the bound holds.
     fn split(&self, askers: &mut [Asker], capacity: f64) {
         for asker in askers.iter_mut() {
             asker.rung = asker.best;
         }
         while self.bound(askers) > capacity {
-            let floor = |it: &Asker| self.terms.packages[it.package.0].floor;
-            let movable = (0..askers.len()).filter(|ix| askers[*ix].rung > floor(&askers[*ix]));
-            let key = |it: &Asker| (it.over_share, it.rung);
-            let value = |it: &Asker| self.terms.packages[it.package.0].value;
-            let first = movable.max_by(|a, b| {
-                let (a, b) = (&askers[*a], &askers[*b]);
-                key(a).cmp(&key(b)).then(value(b).total_cmp(&value(a)))
-            });
-            match first {
-                Some(ix) => askers[ix].rung.0 -= 1,
+            let movable = askers.iter_mut().filter(|it| it.rung > self.terms.packages[it.package.0].floor);
+            match movable.max_by(|a, b| self.goes_down(a, b)) {
+                Some(asker) => asker.rung.0 -= 1,
                 None => return,
             }
         }
@@ -714,17 +663,18 @@
     /// False if even the lowest rung for all breaks the bound, at what the manager may ever claim there.
     fn has_room(&self, viewing: &Viewing, server: &ServerId) -> bool {
         let rack = self.rack(&self.servers[server]);
-        let lowest = |here: &dyn Fn(&ServerId) -> bool| {
-            let held = self.viewings.values().filter(|it| it.place().is_some_and(here));
-            let mut askers: Vec<Asker> = held.map(|it| self.asker(it)).collect();
-            askers.push(self.asker(viewing));
-            for asker in &mut askers {
-                asker.rung = self.terms.packages[asker.package.0].floor;
-            }
-            self.bound(&askers)
+        let lowest = |here: &dyn Fn(&ServerId, &Server) -> bool| -> f64 {
+            let all = self.terms.packages.iter().enumerate().map(|(ix, package)| {
+                let package_ix = PackageIx(ix);
+                let held = self.servers.iter().filter(|(id, it)| here(id, it));
+                let held: f64 = held.filter_map(|(_, it)| it.counts.get(&package_ix)).sum();
+                let n = if viewing.wish.package == package_ix { held + 1.0 } else { held };
+                self.rate(package_ix, package.floor) * (n + PHI * n.sqrt())
+            });
+            all.sum()
         };
-        let link = lowest(&|it| it == server);
-        let uplink = lowest(&|it| self.servers.get(it).is_some_and(|it| self.rack(it) == rack));
+        let link = lowest(&|id, _| id == server);
+        let uplink = lowest(&|_, it| self.rack(it) == rack);
         let parts = self.terms.managers.max(1.0);
         link <= self.link_claim(server, DOWN_FILL).max(self.link_kb(server) / parts)
             && uplink <= self.uplink_claim(rack, DOWN_FILL).max(self.terms.uplink_kb / parts)
@@ -735,17 +685,11 @@
     }
 
     fn link_kb(&self, server: &ServerId) -> f64 {
-        self.servers
-            .get(server)
-            .map_or(0.0, |it| it.entry.weight * self.terms.link_unit_kb)
+        self.servers.get(server).map_or(0.0, |it| it.entry.weight * self.terms.link_unit_kb)
     }
 
     fn own_in(&self, rack: Rack) -> f64 {
-        self.servers
-            .values()
-            .filter(|it| self.rack(it) == rack)
-            .map(|it| it.own_kb)
-            .sum()
+        self.servers.values().filter(|it| self.rack(it) == rack).map(|it| it.own_kb).sum()
     }
 
     /// What this manager may use of a link: the told capacity less others' use. Free room is shared among the
@@ -768,10 +712,7 @@
     /// With no note: as many others' viewings as one's own, for each manager.
     fn guess(&self) -> f64 {
         let own: f64 = self.servers.values().map(|it| it.own_kb).sum();
-        let up = self
-            .servers
-            .values()
-            .filter(|it| it.entry.availability == Availability::Up);
+        let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
         let links: f64 = up.map(|it| it.entry.weight * self.terms.link_unit_kb).sum();
         if links > 0.0 {
             (own * self.terms.managers / links).min(FILL)
@@ -797,11 +738,7 @@
         let it = &self.servers[server];
         let rack = self.rack(it);
         let (claim, own) = (self.uplink_claim(rack, fill), self.own_in(rack));
-        let share = if claim >= own {
-            it.own_kb + claim - own
-        } else {
-            it.own_kb * claim / own
-        };
+        let share = if claim >= own { it.own_kb + claim - own } else { it.own_kb * claim / own };
         self.link_claim(server, fill).min(share)
     }
 
@@ -812,42 +749,16 @@
         let link = part_used(self.link_kb(server), it.seen, it.own_kb, self.guess());
         let seen = self.uplinks.get(&rack).and_then(|it| it.seen);
         let uplink = part_used(self.terms.uplink_kb, seen, self.own_in(rack), self.guess());
-        let crossing = if it.entry.zone == self.terms.zone {
-            0.0
-        } else {
-            self.terms.cross_price
-        };
+        let crossing = if it.entry.zone == self.terms.zone { 0.0 } else { self.terms.cross_price };
         link.max(uplink) + crossing * CROSS_HANDICAP
     }
 
     // What is told of links and uplinks.
 
-    /// Brings the ledger of a server up to date with the viewings there.
-    fn book(&mut self, server: &ServerId) {
-        let there = self.viewings.values().filter(|it| it.place() == Some(server));
-        let own: f64 = there.map(|it| self.rate(it.wish.package, it.rung)).sum();
-        let (now, keep) = (self.now, self.terms.seen_after * 2.0);
-        if let Some(server) = self.servers.get_mut(server) {
-            if own != server.own_kb {
-                server.ledger.retain(|it| now - it.0 <= keep);
-                server.ledger.push((now, own - server.own_kb));
-                server.own_kb = own;
-            }
-            server.sent.retain(|at| now - *at <= self.terms.cold.fall_window);
-        }
-        let span = self.terms.budget.map_or(Ms(0.0), |it| it.span);
-        self.taken.retain(|at| now - *at <= span);
-        self.further.retain(|at| now - *at <= span);
-    }
-
     fn note_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
         if let Some(server) = self.servers.get_mut(server) {
             if server.seen.is_none_or(|it| it.at <= at) {
-                server.seen = Some(Seen {
-                    asked,
-                    own_kb: server.own_at(at),
-                    at,
-                });
+                server.seen = Some(Seen { asked, own_kb: server.own_at(at), at });
             }
         }
     }
@@ -866,11 +777,7 @@
 
     /// Short delivery that the link does not explain comes from the uplink.
     fn note_delivered(&mut self, server: &ServerId, share: f64, at: Ms) {
-        let link = self
-            .servers
-            .get(server)
-            .and_then(|it| it.seen)
-            .map_or(0.0, |it| it.asked);
+        let link = self.servers.get(server).and_then(|it| it.seen).map_or(0.0, |it| it.asked);
         let asked = 1.0 / share.max(0.05);
         if share >= 0.98 {
             return;
@@ -905,66 +812,23 @@
     seen.map_or(guess, |it| it.asked + (own_now - it.own_kb) / told)
 }
 
-impl Viewing {
-    fn out(&self) -> bool {
-        self.tune_ins.last().is_some_and(|it| it.outcome.is_none())
-    }
-
-    /// Where its tune-in is out or it plays.
-    fn place(&self) -> Option<&ServerId> {
-        self.tune_ins
-            .last()
-            .filter(|it| it.outcome.is_none())
-            .map(|it| &it.server)
-    }
+fn never_ran(viewing: &Viewing) -> bool {
+    !viewing.tune_ins.iter().any(may_have_run)
+}
 
-    fn never_ran(&self) -> bool {
-        !self.tune_ins.iter().any(TuneIn::may_have_run)
-    }
+fn below(asker: &Asker) -> usize {
+    asker.best.0.saturating_sub(asker.rung.0)
 }
 
-impl TuneIn {
-    fn may_have_run(&self) -> bool {
-        !matches!(
-            self.outcome,
-            Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
-        )
-    }
+fn may_have_run(tune_in: &TuneIn) -> bool {
+    !matches!(tune_in.outcome, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
 }
 
-impl Server {
-    fn new(entry: Entry, cold_until: Ms) -> Server {
-        Server {
-            entry,
-            seen: None,
-            delivered: None,
-            ledger: Vec::new(),
-            own_kb: 0.0,
-            sent: Vec::new(),
-            cold_until,
-            failures: 0,
-            shunned_until: Ms::LONG_AGO,
-            last_step: Ms::LONG_AGO,
-            tight_at: Ms::LONG_AGO,
-        }
-    }
-
-    /// It answers: if it had failed it may have restarted, at the latest just now.
-    fn well(&mut self, now: Ms, terms: &Terms) {
-        if self.failures > 0 {
-            self.failures = 0;
-            self.cold_until = self.cold_until.max(now + terms.cold.lasts);
-        }
-        self.shunned_until = Ms::LONG_AGO;
-    }
-
-    fn own_at(&self, at: Ms) -> f64 {
-        self.own_kb
-            - self
-                .ledger
-                .iter()
-                .filter(|it| it.0 > at)
-                .map(|it| it.1)
-                .sum::<f64>()
+/// It answers: if it had failed it may have restarted, at the latest just now.
+fn well(server: &mut Server, now: Ms, terms: &Terms) {
+    if server.failures > 0 {
+        server.failures = 0;
+        server.cold_until = server.cold_until.max(now + terms.cold.lasts);
     }
+    server.shunned_until = Ms::LONG_AGO;
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -30,12 +30,5 @@
 }
 
 name_ids!(ViewingId, ServerId, TitleId, Zone, Kind);
-number_ids!(
-    PackageIx(usize),
-    TenantIx(usize),
-    Rung(usize),
-    ManagerIx(u64),
-    Cell(u64),
-    Rack(u64)
-);
+number_ids!(PackageIx(usize), TenantIx(usize), Rung(usize), ManagerIx(u64), Cell(u64), Rack(u64));
 number_ids!(TuneInNo(usize), BellTag(u64));
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Cell, Kind, PackageIx, Rung, ServerId, TenantIx, TitleId, ViewingId, Zone};
 use crate::time::Ms;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -98,6 +99,8 @@
     pub started: Ms,
     pub tune_ins: Vec<TuneIn>,
     pub over_share: bool,
+    /// When a waiting viewing is looked at again.
+    pub look_at: Ms,
 }
 
 /// A note on what is asked of a link or an uplink, with the manager's own part at that time.
@@ -112,22 +115,58 @@
 pub struct Server {
     pub entry: Entry,
     pub seen: Option<Seen>,
-    /// Share last delivered to viewings there.
-    pub delivered: Option<(f64, Ms)>,
-    /// Changes of the manager's own rates there, newest last.
-    pub ledger: Vec<(Ms, f64)>,
+    /// Viewings that the manager has there, set-ups included, and their number by package.
+    pub held: BTreeSet<ViewingId>,
+    pub counts: BTreeMap<PackageIx, f64>,
+    /// What they ask by the ladder, and the changes of it, newest last.
     pub own_kb: f64,
+    pub ledger: Vec<(Ms, f64)>,
     /// When the manager sent set-ups there, newest last.
     pub sent: Vec<Ms>,
     pub cold_until: Ms,
     /// Failures in a row, and until when they keep the server out of the pick.
     pub failures: u32,
     pub shunned_until: Ms,
-    pub last_step: Ms,
-    pub tight_at: Ms,
+    /// When its rungs are weighed again, and when one last changed or was too high.
+    pub look_at: Ms,
+    pub unsettled_at: Ms,
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Uplink {
     pub seen: Option<Seen>,
 }
+
+impl Viewing {
+    pub fn out(&self) -> bool {
+        self.tune_ins.last().is_some_and(|it| it.outcome.is_none())
+    }
+
+    /// Where its tune-in is out or it plays.
+    pub fn place(&self) -> Option<&ServerId> {
+        self.tune_ins.last().filter(|it| it.outcome.is_none()).map(|it| &it.server)
+    }
+}
+
+impl Server {
+    pub fn new(entry: Entry, cold_until: Ms) -> Server {
+        Server {
+            entry,
+            seen: None,
+            held: BTreeSet::new(),
+            counts: BTreeMap::new(),
+            own_kb: 0.0,
+            ledger: Vec::new(),
+            sent: Vec::new(),
+            cold_until,
+            failures: 0,
+            shunned_until: Ms::LONG_AGO,
+            look_at: Ms::LONG_AGO,
+            unsettled_at: Ms::LONG_AGO,
+        }
+    }
+
+    pub fn own_at(&self, at: Ms) -> f64 {
+        self.own_kb - self.ledger.iter().filter(|it| it.0 > at).map(|it| it.1).sum::<f64>()
+    }
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,22 +1,35 @@
 //! Times and spans in milliseconds with fractions, and sums that decay with time.
 
+use std::cmp::Ordering;
 use std::ops::{Add, Div, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Ms(pub f64);
 
-impl Ms {
-    pub const LONG_AGO: Ms = Ms(f64::NEG_INFINITY);
+impl PartialEq for Ms {
+    fn eq(&self, other: &Ms) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Ms {}
 
-    pub fn min(self, other: Ms) -> Ms {
-        Ms(self.0.min(other.0))
+impl PartialOrd for Ms {
+    fn partial_cmp(&self, other: &Ms) -> Option<Ordering> {
+        Some(self.cmp(other))
     }
+}
 
-    pub fn max(self, other: Ms) -> Ms {
-        Ms(self.0.max(other.0))
+impl Ord for Ms {
+    fn cmp(&self, other: &Ms) -> Ordering {
+        self.0.total_cmp(&other.0)
     }
 }
 
+impl Ms {
+    pub const LONG_AGO: Ms = Ms(f64::NEG_INFINITY);
+}
+
 impl Add for Ms {
     type Output = Ms;
     fn add(self, other: Ms) -> Ms {
