--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,14 +14,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Normal point of the root margin, for held counts.
-const PHI: f64 = 0.2;
+const PHI: f64 = 0.1;
 /// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
 /// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
-const FILL: f64 = 0.92;
-const DOWN_FILL: f64 = 1.0;
-const UP_FILL: f64 = 0.85;
+const FILL: f64 = 0.95;
+const DOWN_FILL: f64 = 1.02;
+const UP_FILL: f64 = 0.92;
 /// How long a server must have been settled before a step up, over the time between reports.
-const SETTLED: f64 = 1.5;
+const SETTLED: f64 = 1.0;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
 /// A tune-in that another can follow waits for this part of the join target.
