--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,9 +17,9 @@
 const PHI: f64 = 0.1;
 /// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
 /// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
-const FILL: f64 = 0.95;
-const DOWN_FILL: f64 = 1.02;
-const UP_FILL: f64 = 0.92;
+const FILL: f64 = 0.92;
+const DOWN_FILL: f64 = 1.0;
+const UP_FILL: f64 = 0.85;
 /// How long a server must have been settled before a step up, over the time between reports.
 const SETTLED: f64 = 1.0;
 /// A note older than this many report times counts no more.
