--- a/drill/src/conf.rs
+++ b/drill/src/conf.rs
@@ -78,6 +78,7 @@
         racks: whole(&extra["racks"], 0),
         link_unit_kb: number(&extra["link-unit-kb"]),
         uplink_kb: number(&extra["rack-link-kb"]),
+        uplinks_reported: list(&conf["report"]["fields"]).iter().any(|field| field == "x1"),
         places: kinds.zip(numbers(&extra["places-by-kind"])).collect(),
         seen_after: span(&extra["seen-after-ns"]),
         reports_every: span(&extra["reports-every-ns"]),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,8 @@
 const SETTLED: f64 = 1.0;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
+/// What an uplink was found to give is trusted for about this many report times.
+const TRUST: f64 = 4.0;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
@@ -73,6 +75,8 @@
     taken: Vec<Ms>,
     further: Vec<Ms>,
     bell_at: Option<Ms>,
+    /// Mean part of a link that is asked, where it is known.
+    common_use: f64,
 }
 
 impl Brain {
@@ -92,6 +96,7 @@
             taken: Vec::new(),
             further: Vec::new(),
             bell_at: None,
+            common_use: 0.5,
             terms,
         }
     }
@@ -676,7 +681,7 @@
         let link = lowest(&|id, _| id == server);
         let uplink = lowest(&|_, it| self.rack(it) == rack);
         let parts = self.terms.managers.max(1.0);
-        link <= self.link_claim(server, DOWN_FILL).max(self.link_kb(server) / parts)
+        link <= self.link_claim(server, DOWN_FILL).max(self.link_kb(&self.servers[server]) / parts)
             && uplink <= self.uplink_claim(rack, DOWN_FILL).max(self.terms.uplink_kb / parts)
     }
 
@@ -684,8 +689,8 @@
         Rack(server.entry.cell.0 % self.terms.racks.max(1))
     }
 
-    fn link_kb(&self, server: &ServerId) -> f64 {
-        self.servers.get(server).map_or(0.0, |it| it.entry.weight * self.terms.link_unit_kb)
+    fn link_kb(&self, server: &Server) -> f64 {
+        server.entry.weight * self.terms.link_unit_kb
     }
 
     fn own_in(&self, rack: Rack) -> f64 {
@@ -694,43 +699,59 @@
 
     /// What this manager may use of a link: the told capacity less others' use. Free room is shared among the
     /// managers, who all see the same note; what is missing is given up by each in proportion.
-    fn claim(&self, told: f64, seen: Option<Seen>, own_now: f64, guess: f64, fill: f64) -> f64 {
-        let fresh =
-            seen.filter(|it| self.now - it.at < self.terms.reports_every * STALE + self.terms.seen_after);
-        let (asked, own) = fresh.map_or((guess, own_now), |it| (it.asked, it.own_kb));
+    fn claim(&self, told: f64, seen: Seen, fill: f64) -> f64 {
         // More of one's own than the whole that is seen: the link is larger than told, or titles run low.
-        let capacity = if asked > 0.0 { told.max(own / asked) } else { told };
-        let total = asked * capacity;
+        let capacity = if seen.asked > 0.0 { told.max(seen.own_kb / seen.asked) } else { told };
+        let total = seen.asked * capacity;
         let room = capacity * fill - total;
         if room >= 0.0 {
-            own + room / self.terms.managers.max(1.0)
+            seen.own_kb + room / self.terms.managers.max(1.0)
         } else {
-            own * capacity * fill / total
+            seen.own_kb * capacity * fill / total
         }
     }
 
-    /// With no note: as many others' viewings as one's own, for each manager.
-    fn guess(&self) -> f64 {
-        let own: f64 = self.servers.values().map(|it| it.own_kb).sum();
-        let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
-        let links: f64 = up.map(|it| it.entry.weight * self.terms.link_unit_kb).sum();
-        if links > 0.0 {
-            (own * self.terms.managers / links).min(FILL)
-        } else {
-            FILL
-        }
+    fn fresh(&self, seen: Option<Seen>) -> Option<Seen> {
+        seen.filter(|it| self.now - it.at < self.terms.reports_every * STALE + self.terms.seen_after)
+    }
+
+    /// The last note on a link; without one, the other managers' part is as elsewhere.
+    fn link_seen(&self, server: &Server) -> Seen {
+        let own_kb = server.own_kb;
+        let others = self.common_use * (1.0 - 1.0 / self.terms.managers.max(1.0));
+        let asked = others + own_kb / self.link_kb(server).max(1.0);
+        self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
+    }
+
+    /// The last note on an uplink. Where uplinks are not reported, what its links are known to carry, over what
+    /// it was last found to give.
+    fn uplink_seen(&self, rack: Rack) -> Seen {
+        let uplink = self.uplinks.get(&rack);
+        self.fresh(uplink.and_then(|it| it.seen)).unwrap_or_else(|| {
+            let asked = self.carried(rack) / self.terms.uplink_kb.max(1.0);
+            let back =
+                uplink.map_or(Ms(0.0), |it| self.now - it.found_at) / (self.terms.reports_every * TRUST);
+            let gives = uplink.map_or(1.0, |it| 1.0 - (1.0 - it.gives) * (-back).exp());
+            let own_kb = self.own_in(rack);
+            let parts = self.terms.managers * own_kb / self.terms.uplink_kb.max(1.0);
+            Seen { asked: parts.min(FILL) / gives, own_kb, at: self.now }
+        })
+    }
+
+    /// What the links of a rack are known to carry together.
+    fn carried(&self, rack: Rack) -> f64 {
+        let there = self.servers.values().filter(|it| self.rack(it) == rack);
+        let up = there.filter(|it| it.entry.availability != Availability::Gone);
+        up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum()
     }
 
     fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
         let it = &self.servers[server];
-        self.claim(self.link_kb(server), it.seen, it.own_kb, self.guess(), fill)
+        self.claim(self.link_kb(it), self.link_seen(it), fill)
     }
 
     fn uplink_claim(&self, rack: Rack, fill: f64) -> f64 {
-        let own = self.own_in(rack);
-        let seen = self.uplinks.get(&rack).and_then(|it| it.seen);
-        let guess = (own * self.terms.managers / self.terms.uplink_kb.max(1.0)).min(FILL);
-        self.claim(self.terms.uplink_kb, seen, own, guess, fill)
+        self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
@@ -742,15 +763,19 @@
         self.link_claim(server, fill).min(share)
     }
 
+    fn link_used(&self, server: &Server) -> f64 {
+        let seen = self.link_seen(server);
+        seen.asked + (server.own_kb - seen.own_kb) / self.link_kb(server).max(1.0)
+    }
+
     /// Part of a holder's link or uplink that is asked, whichever is fuller.
     fn used(&self, server: &ServerId) -> f64 {
         let it = &self.servers[server];
         let rack = self.rack(it);
-        let link = part_used(self.link_kb(server), it.seen, it.own_kb, self.guess());
-        let seen = self.uplinks.get(&rack).and_then(|it| it.seen);
-        let uplink = part_used(self.terms.uplink_kb, seen, self.own_in(rack), self.guess());
+        let seen = self.uplink_seen(rack);
+        let uplink = seen.asked + (self.own_in(rack) - seen.own_kb) / self.terms.uplink_kb.max(1.0);
         let crossing = if it.entry.zone == self.terms.zone { 0.0 } else { self.terms.cross_price };
-        link.max(uplink) + crossing * CROSS_HANDICAP
+        self.link_used(it).max(uplink) + crossing * CROSS_HANDICAP
     }
 
     // What is told of links and uplinks.
@@ -761,6 +786,11 @@
                 server.seen = Some(Seen { asked, own_kb: server.own_at(at), at });
             }
         }
+        let known: Vec<f64> =
+            self.servers.values().filter_map(|it| self.fresh(it.seen)).map(|it| it.asked).collect();
+        if !known.is_empty() {
+            self.common_use = (known.iter().sum::<f64>() / known.len() as f64).min(FILL);
+        }
     }
 
     fn note_uplink(&mut self, server: &ServerId, asked: f64, at: Ms) {
@@ -775,17 +805,34 @@
         }
     }
 
-    /// Short delivery that the link does not explain comes from the uplink.
+    /// Short delivery at one server is its link's; at several of a rack it is the uplink's, which gives no less
+    /// than the best of them gets. What it gives is kept in mind for a while: some are never reported.
     fn note_delivered(&mut self, server: &ServerId, share: f64, at: Ms) {
-        let link = self.servers.get(server).and_then(|it| it.seen).map_or(0.0, |it| it.asked);
-        let asked = 1.0 / share.max(0.05);
+        let (now, asked) = (self.now, 1.0 / share.max(0.05));
+        let Some(it) = self.servers.get_mut(server) else {
+            return;
+        };
+        it.delivered = (share, at);
+        let rack = self.rack(&self.servers[server]);
         if share >= 0.98 {
+            if !self.terms.uplinks_reported {
+                self.uplinks.entry(rack).or_default().seen = None;
+            }
             return;
         }
-        if link >= asked * 0.95 {
-            self.note_link(server, asked.max(link), at);
-        } else {
-            self.note_uplink(server, asked, at);
+        let short =
+            |it: &&Server| now - it.delivered.1 < self.terms.seen_after * 3.0 && it.delivered.0 < 0.98;
+        let there: Vec<&Server> = self.servers.values().filter(|it| self.rack(it) == rack).collect();
+        let short: Vec<f64> = there.into_iter().filter(short).map(|it| it.delivered.0).collect();
+        let best = short.iter().fold(0.0, |best: f64, share| best.max(*share));
+        if short.len() > 1 {
+            let gives = (self.carried(rack) * best / self.terms.uplink_kb.max(1.0)).min(1.0);
+            self.note_uplink(server, 1.0 / best, at);
+            let uplink = self.uplinks.entry(rack).or_default();
+            (uplink.gives, uplink.found_at) = (gives, now);
+        }
+        if share < best * 0.95 || short.len() == 1 {
+            self.note_link(server, asked, at);
         }
     }
 
@@ -805,13 +852,6 @@
     }
 }
 
-fn part_used(told: f64, seen: Option<Seen>, own_now: f64, guess: f64) -> f64 {
-    if told <= 0.0 {
-        return f64::MAX;
-    }
-    seen.map_or(guess, |it| it.asked + (own_now - it.own_kb) / told)
-}
-
 fn never_ran(viewing: &Viewing) -> bool {
     !viewing.tune_ins.iter().any(may_have_run)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,6 +115,8 @@
 pub struct Server {
     pub entry: Entry,
     pub seen: Option<Seen>,
+    /// Share last delivered to viewings there, and when.
+    pub delivered: (f64, Ms),
     /// Viewings that the manager has there, set-ups included, and their number by package.
     pub held: BTreeSet<ViewingId>,
     pub counts: BTreeMap<PackageIx, f64>,
@@ -132,9 +134,18 @@
     pub unsettled_at: Ms,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Uplink {
     pub seen: Option<Seen>,
+    /// Part of the told uplink that it was found to give, and when.
+    pub gives: f64,
+    pub found_at: Ms,
+}
+
+impl Default for Uplink {
+    fn default() -> Uplink {
+        Uplink { seen: None, gives: 1.0, found_at: Ms(0.0) }
+    }
 }
 
 impl Viewing {
@@ -153,6 +164,7 @@
         Server {
             entry,
             seen: None,
+            delivered: (1.0, Ms::LONG_AGO),
             held: BTreeSet::new(),
             counts: BTreeMap::new(),
             own_kb: 0.0,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -66,6 +66,7 @@
     pub racks: u64,
     pub link_unit_kb: f64,
     pub uplink_kb: f64,
+    pub uplinks_reported: bool,
     pub places: BTreeMap<Kind, f64>,
     pub seen_after: Ms,
     pub reports_every: Ms,
