--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 use crate::answers::Answers;
 use crate::ids::{BellTag, ManagerIx, PackageIx, Rack, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
 use crate::state::{
-    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Topic, TuneIn, Uplink, Viewing, Wish,
+    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Topic, TuneIn, Viewing, Wish,
 };
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
@@ -24,8 +24,6 @@
 const SETTLED: f64 = 1.0;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
-/// What an uplink was found to give is trusted for about this many report times.
-const TRUST: f64 = 4.0;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
@@ -67,7 +65,7 @@
     /// Until then any server may be cold: the list at start may be old.
     unsure_until: Ms,
     servers: BTreeMap<ServerId, Server>,
-    uplinks: BTreeMap<Rack, Uplink>,
+    uplinks: BTreeMap<Rack, Seen>,
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
     waiting: BTreeSet<(Ms, ViewingId)>,
@@ -723,26 +721,12 @@
         self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
-    /// The last note on an uplink. Where uplinks are not reported, what its links are known to carry, over what
-    /// it was last found to give.
+    /// The last note on an uplink; without one, the other managers ask as much of it as this one.
     fn uplink_seen(&self, rack: Rack) -> Seen {
-        let uplink = self.uplinks.get(&rack);
-        self.fresh(uplink.and_then(|it| it.seen)).unwrap_or_else(|| {
-            let asked = self.carried(rack) / self.terms.uplink_kb.max(1.0);
-            let back =
-                uplink.map_or(Ms(0.0), |it| self.now - it.found_at) / (self.terms.reports_every * TRUST);
-            let gives = uplink.map_or(1.0, |it| 1.0 - (1.0 - it.gives) * (-back).exp());
-            let own_kb = self.own_in(rack);
-            let parts = self.terms.managers * own_kb / self.terms.uplink_kb.max(1.0);
-            Seen { asked: parts.min(FILL) / gives, own_kb, at: self.now }
-        })
-    }
-
-    /// What the links of a rack are known to carry together.
-    fn carried(&self, rack: Rack) -> f64 {
-        let there = self.servers.values().filter(|it| self.rack(it) == rack);
-        let up = there.filter(|it| it.entry.availability != Availability::Gone);
-        up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum()
+        let own_kb = self.own_in(rack);
+        let asked = (own_kb * self.terms.managers / self.terms.uplink_kb.max(1.0)).min(FILL);
+        let seen = self.uplinks.get(&rack).copied();
+        self.fresh(seen).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
     fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
@@ -799,14 +783,13 @@
         };
         let there = self.servers.values().filter(|it| self.rack(it) == rack);
         let own_kb = there.map(|it| it.own_at(at)).sum();
-        let uplink = self.uplinks.entry(rack).or_default();
-        if uplink.seen.is_none_or(|it| it.at <= at) {
-            uplink.seen = Some(Seen { asked, own_kb, at });
+        if self.uplinks.get(&rack).is_none_or(|it| it.at <= at) {
+            self.uplinks.insert(rack, Seen { asked, own_kb, at });
         }
     }
 
     /// Short delivery at one server is its link's; at several of a rack it is the uplink's, which gives no less
-    /// than the best of them gets. What it gives is kept in mind for a while: some are never reported.
+    /// than the best of them gets.
     fn note_delivered(&mut self, server: &ServerId, share: f64, at: Ms) {
         let (now, asked) = (self.now, 1.0 / share.max(0.05));
         let Some(it) = self.servers.get_mut(server) else {
@@ -816,7 +799,7 @@
         let rack = self.rack(&self.servers[server]);
         if share >= 0.98 {
             if !self.terms.uplinks_reported {
-                self.uplinks.entry(rack).or_default().seen = None;
+                self.uplinks.remove(&rack);
             }
             return;
         }
@@ -826,10 +809,7 @@
         let short: Vec<f64> = there.into_iter().filter(short).map(|it| it.delivered.0).collect();
         let best = short.iter().fold(0.0, |best: f64, share| best.max(*share));
         if short.len() > 1 {
-            let gives = (self.carried(rack) * best / self.terms.uplink_kb.max(1.0)).min(1.0);
             self.note_uplink(server, 1.0 / best, at);
-            let uplink = self.uplinks.entry(rack).or_default();
-            (uplink.gives, uplink.found_at) = (gives, now);
         }
         if share < best * 0.95 || short.len() == 1 {
             self.note_link(server, asked, at);
@@ -842,7 +822,7 @@
         let Some(it) = self.servers.get(server) else {
             return;
         };
-        let uplink_old = old(self.uplinks.get(&self.rack(it)).and_then(|it| it.seen));
+        let uplink_old = old(self.uplinks.get(&self.rack(it)).copied());
         if let Some(asked) = load.link_uncapped.or(load.link).filter(|_| old(it.seen)) {
             self.note_link(server, asked, self.now - self.terms.seen_after);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -134,20 +134,6 @@
     pub unsettled_at: Ms,
 }
 
-#[derive(Clone, Debug)]
-pub struct Uplink {
-    pub seen: Option<Seen>,
-    /// Part of the told uplink that it was found to give, and when.
-    pub gives: f64,
-    pub found_at: Ms,
-}
-
-impl Default for Uplink {
-    fn default() -> Uplink {
-        Uplink { seen: None, gives: 1.0, found_at: Ms(0.0) }
-    }
-}
-
 impl Viewing {
     pub fn out(&self) -> bool {
         self.tune_ins.last().is_some_and(|it| it.outcome.is_none())
