--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,8 @@
 const SETTLED: f64 = 1.0;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
+/// One on an uplink that is never reported counts so much longer.
+const TRUST: f64 = 4.0;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
@@ -709,8 +711,9 @@
         }
     }
 
-    fn fresh(&self, seen: Option<Seen>) -> Option<Seen> {
-        seen.filter(|it| self.now - it.at < self.terms.reports_every * STALE + self.terms.seen_after)
+    fn fresh(&self, seen: Option<Seen>, trust: f64) -> Option<Seen> {
+        let lasts = self.terms.reports_every * STALE * trust + self.terms.seen_after;
+        seen.filter(|it| self.now - it.at < lasts)
     }
 
     /// The last note on a link; without one, the other managers' part is as elsewhere.
@@ -718,15 +721,16 @@
         let own_kb = server.own_kb;
         let others = self.common_use * (1.0 - 1.0 / self.terms.managers.max(1.0));
         let asked = others + own_kb / self.link_kb(server).max(1.0);
-        self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
+        self.fresh(server.seen, 1.0).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
     /// The last note on an uplink; without one, the other managers ask as much of it as this one.
     fn uplink_seen(&self, rack: Rack) -> Seen {
         let own_kb = self.own_in(rack);
         let asked = (own_kb * self.terms.managers / self.terms.uplink_kb.max(1.0)).min(FILL);
+        let trust = if self.terms.uplinks_reported { 1.0 } else { TRUST };
         let seen = self.uplinks.get(&rack).copied();
-        self.fresh(seen).unwrap_or(Seen { asked, own_kb, at: self.now })
+        self.fresh(seen, trust).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
     fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
@@ -771,7 +775,7 @@
             }
         }
         let known: Vec<f64> =
-            self.servers.values().filter_map(|it| self.fresh(it.seen)).map(|it| it.asked).collect();
+            self.servers.values().filter_map(|it| self.fresh(it.seen, 1.0)).map(|it| it.asked).collect();
         if !known.is_empty() {
             self.common_use = (known.iter().sum::<f64>() / known.len() as f64).min(FILL);
         }
@@ -798,8 +802,8 @@
         it.delivered = (share, at);
         let rack = self.rack(&self.servers[server]);
         if share >= 0.98 {
-            if !self.terms.uplinks_reported {
-                self.uplinks.remove(&rack);
+            if !self.terms.uplinks_reported && self.uplinks.contains_key(&rack) {
+                self.note_uplink(server, 1.0, at);
             }
             return;
         }
