--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,6 +22,8 @@
 const UP_FILL: f64 = 0.85;
 /// How long a server must have been settled before a step up, over the time between reports.
 const SETTLED: f64 = 1.0;
+/// Short delivery is explained by a link that was asked for this much of what would cause it.
+const EXPLAINED: f64 = 0.92;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
 /// One on an uplink that is never reported counts so much longer.
@@ -807,15 +809,17 @@
             }
             return;
         }
-        let short =
-            |it: &&Server| now - it.delivered.1 < self.terms.seen_after * 3.0 && it.delivered.0 < 0.98;
+        let short = |it: &&Server| {
+            let unexplained = it.seen.is_none_or(|seen| seen.asked * it.delivered.0 < EXPLAINED);
+            now - it.delivered.1 < self.terms.seen_after * 3.0 && it.delivered.0 < 0.98 && unexplained
+        };
         let there: Vec<&Server> = self.servers.values().filter(|it| self.rack(it) == rack).collect();
         let short: Vec<f64> = there.into_iter().filter(short).map(|it| it.delivered.0).collect();
         let best = short.iter().fold(0.0, |best: f64, share| best.max(*share));
         if short.len() > 1 {
             self.note_uplink(server, 1.0 / best, at);
         }
-        if share < best * 0.95 || short.len() == 1 {
+        if share < best * 0.95 || short.len() < 2 {
             self.note_link(server, asked, at);
         }
     }
