--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -57,7 +57,7 @@
         Ok(ms(self.number::<i64>(expected)?))
     }
 
-    fn to_line_end(&mut self, expected: &str) -> Read<&'a str> {
+    fn remainder(&mut self, expected: &str) -> Read<&'a str> {
         self.rest.take().map_or_else(|| wanted(self.line, expected), Ok)
     }
 
@@ -228,7 +228,7 @@
     ) -> Read<()> {
         if name == "BORN" {
             let seed = values.number("salt")?;
-            let conf = values.to_line_end("conf")?;
+            let conf = values.remainder("conf")?;
             let conf = serde_json::from_str(conf)
                 .or_else(|trouble| wanted(conf, &format!("a settings object ({trouble})")))?;
             self.ever_born.insert(instance.to_string());
@@ -455,3 +455,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,6 +36,8 @@
 const BEAT: f64 = 0.1;
 /// A first failure keeps a server out of the pick for this many join targets; each further one doubles it.
 const SHUN: f64 = 1.0;
+/// A server that turned a set-up away is left out for this part of the time between notes.
+const AWAY: f64 = 0.5;
 
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
@@ -49,7 +51,7 @@
 impl Chance {
     fn below(&mut self, limit: usize) -> usize {
         self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
-        ((self.0 & 0xffff_ffff) * limit as u64 >> 32) as usize
+        (((self.0 & 0xffff_ffff) * limit as u64) >> 32) as usize
     }
 }
 
@@ -223,7 +225,12 @@
                 self.amend(vw, |it| it.rung = Rung(value.max(0.0) as usize));
             }
             Topic::ShareDelivered => self.note_delivered(server, value, at),
-            Topic::LinkAsked => self.note_link(server, value, at),
+            Topic::LinkAsked => {
+                if let Some(server) = self.servers.get_mut(server) {
+                    server.link_note = value;
+                }
+                self.note_link(server, value, at);
+            }
             Topic::UplinkAsked => self.note_uplink(server, value, at),
         }
         self.settle(out);
@@ -335,7 +342,7 @@
         let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
         let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
         let broken = self.bound(&held) > self.capacity(&id, DOWN_FILL);
-        let settled = now - self.servers[&id].unsettled_at >= self.terms.reports_every * SETTLED;
+        let settled = now - self.servers[&id].unsettled_at >= self.note_gap() * SETTLED;
         let changed = if broken {
             let may = |ix: &usize| held[*ix].rung > self.terms.packages[held[*ix].package.0].floor;
             let top = (0..held.len()).filter(playing).filter(may);
@@ -452,6 +459,11 @@
         self.terms.packages.iter().map(|it| it.join_target).min().unwrap_or(Ms(1e3))
     }
 
+    /// Time between two notes on a server, where any come.
+    fn note_gap(&self) -> Ms {
+        self.terms.reports_every.max(self.terms.seen_after).max(self.terms.tick)
+    }
+
     fn beat(&self) -> Ms {
         (self.join_target() * BEAT).max(self.terms.tick).max(Ms(1.0))
     }
@@ -579,13 +591,13 @@
 
     /// Takes note of how a tune-in, a viewing or a probe ended.
     fn judge(&mut self, server: &ServerId, outcome: Outcome) {
-        let join = self.join_target();
+        let (join, gap) = (self.join_target(), self.note_gap());
         let Some(server) = self.servers.get_mut(server) else {
             return;
         };
         match outcome {
             Outcome::Served => well(server, self.now, &self.terms),
-            Outcome::TurnedAway => server.shunned_until = self.now + self.terms.reports_every * 0.5,
+            Outcome::TurnedAway => server.shunned_until = self.now + gap * AWAY,
             Outcome::NoConnection | Outcome::ConnectionLost | Outcome::NoAnswer => {
                 if self.now >= server.shunned_until {
                     server.failures += 1;
@@ -607,7 +619,8 @@
     fn asker(&self, viewing: &Viewing) -> Asker {
         let package = viewing.wish.package;
         let Viewing { rung, over_share, .. } = *viewing;
-        let best = viewing.wish.best.min(self.package(viewing).top);
+        let package_terms = self.package(viewing);
+        let best = viewing.wish.best.min(package_terms.top).max(package_terms.floor);
         Asker { package, best, rung, over_share }
     }
 
@@ -714,7 +727,7 @@
     }
 
     fn fresh(&self, seen: Option<Seen>, trust: f64) -> Option<Seen> {
-        let lasts = self.terms.reports_every * STALE * trust + self.terms.seen_after;
+        let lasts = self.note_gap() * STALE * trust + self.terms.seen_after;
         seen.filter(|it| self.now - it.at < lasts)
     }
 
@@ -741,6 +754,9 @@
     }
 
     fn uplink_claim(&self, rack: Rack, fill: f64) -> f64 {
+        if self.terms.uplink_kb <= 0.0 {
+            return f64::INFINITY;
+        }
         self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill)
     }
 
@@ -810,7 +826,7 @@
             return;
         }
         let short = |it: &&Server| {
-            let unexplained = it.seen.is_none_or(|seen| seen.asked * it.delivered.0 < EXPLAINED);
+            let unexplained = it.link_note * it.delivered.0 < EXPLAINED;
             now - it.delivered.1 < self.terms.seen_after * 3.0 && it.delivered.0 < 0.98 && unexplained
         };
         let there: Vec<&Server> = self.servers.values().filter(|it| self.rack(it) == rack).collect();
@@ -860,3 +876,6 @@
     }
     server.shunned_until = Ms::LONG_AGO;
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/brain/tests.rs
@@ -0,0 +1,421 @@
+use super::*;
+use crate::ids::{Cell, Kind};
+use crate::terms::{Budget, ColdPace, Package, Tenant};
+use test_case::test_case;
+
+/// Keeps what was said, a word each.
+#[derive(Default)]
+struct Said(Vec<String>);
+
+impl Answers for Said {
+    fn relay(&mut self, _: &ViewingId, server: &ServerId, time_out: Ms) {
+        self.0.push(format!("relay {server} {}", time_out.0));
+    }
+    fn withdraw(&mut self, _: &ViewingId, _: TuneInNo) {
+        self.0.push("withdraw".into());
+    }
+    fn step_to(&mut self, vw: &ViewingId, rung: Rung) {
+        self.0.push(format!("{vw} to {}", rung.0));
+    }
+    fn shed(&mut self, _: &ViewingId, _: Option<Ms>) {
+        self.0.push("shed".into());
+    }
+    fn abort(&mut self, _: &ViewingId) {
+        self.0.push("abort".into());
+    }
+    fn rebalance(&mut self, vw: &ViewingId) {
+        self.0.push(format!("rebalance {vw}"));
+    }
+    fn schedule(&mut self, _: BellTag, _: Ms) {}
+    fn publish(&mut self, _: Option<ManagerIx>, _: &[u8]) {}
+    fn inspect(&mut self, _: &ServerId) {}
+    fn subscribe(&mut self) {
+        self.0.push("subscribe".into());
+    }
+    fn debug(&mut self, _: &str) {}
+}
+
+fn package(value: f64) -> Package {
+    Package {
+        name: format!("worth {value}"),
+        value,
+        join_target: Ms(1000.0),
+        repeat: Repeat::Idempotent,
+        scale: 1.0,
+        floor: Rung(0),
+        top: Rung(3),
+        seats: 0,
+    }
+}
+
+/// Rates 1, 2, 4 and 8; a link of 100, an uplink of 1000; two managers; 6 set-ups in any cold second.
+fn terms() -> Terms {
+    Terms {
+        me: ManagerIx(0),
+        managers: 2.0,
+        zone: "here".into(),
+        packages: vec![package(1.0), package(3.0)],
+        tenants: vec![Tenant { name: "t".into(), allowance_per_s: 1.0 }],
+        ladder_kb: vec![1.0, 2.0, 4.0, 8.0],
+        worth: vec![0.2, 0.5, 0.8, 1.0],
+        cells: 10,
+        racks: 2,
+        link_unit_kb: 100.0,
+        uplink_kb: 1000.0,
+        uplinks_reported: true,
+        places: [(Kind::from("k"), 48.0)].into(),
+        seen_after: Ms(1000.0),
+        reports_every: Ms(2000.0),
+        stall_cost: 5.0,
+        change_cost: Ms(500.0),
+        max_tune_ins: 3,
+        max_stay_away: None,
+        must_subscribe: false,
+        cross_price: 0.0,
+        move_price: 0.1,
+        cold: ColdPace {
+            lasts: Ms(10_000.0),
+            start_capacity: 0.5,
+            fall_multiple: 4.0,
+            fall_window: Ms(1000.0),
+        },
+        budget: None,
+        tick: Ms(10.0),
+    }
+}
+
+fn entry(server: &str, cell: u64) -> Entry {
+    Entry {
+        kind: "k".into(),
+        cell: Cell(cell),
+        availability: Availability::Up,
+        server: server.into(),
+        started: None,
+        weight: 1.0,
+        zone: "here".into(),
+    }
+}
+
+fn wish(vw: &str) -> Wish {
+    Wish {
+        vw: vw.into(),
+        package: PackageIx(0),
+        tenant: None,
+        title: "film".into(),
+        base: 0,
+        copies: 4,
+        best: Rung(3),
+        due: Ms(104_000.0),
+    }
+}
+
+/// At 100 s, long after its start, with servers s0, s1, ... in cells 0, 1, ...
+fn brain(terms: Terms, servers: usize) -> Brain {
+    let mut it = Brain::born(Ms(0.0), 7, terms, &mut Said::default());
+    it.now = Ms(100_000.0);
+    for cell in 0..servers {
+        let entry = entry(&format!("s{cell}"), cell as u64);
+        it.servers.insert(entry.server.clone(), Server::new(entry, Ms::LONG_AGO));
+    }
+    it
+}
+
+fn tried(server: &str, outcome: Option<Outcome>) -> TuneIn {
+    TuneIn { server: server.into(), sent: Ms(99_900.0), outcome }
+}
+
+fn add(brain: &mut Brain, vw: &str, phase: Phase, rung: usize, tune_ins: Vec<TuneIn>) -> Viewing {
+    brain.take(wish(vw), phase, tune_ins);
+    brain.amend(&vw.into(), |it| it.rung = Rung(rung));
+    brain.viewings[&vw.into()].clone()
+}
+
+fn playing(brain: &mut Brain, vw: &str, server: &str, rung: usize) -> Viewing {
+    add(brain, vw, Phase::Playing, rung, vec![tried(server, None)])
+}
+
+fn server<'a>(brain: &'a mut Brain, id: &str) -> &'a mut Server {
+    brain.servers.get_mut(&id.into()).unwrap()
+}
+
+fn asker(package: usize, best: usize, over_share: bool) -> Asker {
+    Asker { package: PackageIx(package), best: Rung(best), rung: Rung(best), over_share }
+}
+
+// With phi of 0.1 a rung of rate r holds n viewings at r x (n + 0.1 x root of n): 1.1 r, 2.1414 r, 3.1732 r.
+#[test_case(&[3], 8.8, &[3]; "one fits exactly")]
+#[test_case(&[3], 8.79, &[2]; "one step")]
+#[test_case(&[3, 3], 17.14, &[3, 3]; "two fit")]
+#[test_case(&[3, 3], 13.21, &[2, 3]; "a share of one steps")]
+#[test_case(&[3, 3], 6.61, &[1, 2]; "several rungs")]
+#[test_case(&[3, 1], 6.61, &[1, 2]; "top rung before lower request")]
+#[test_case(&[3, 3, 3], 0.5, &[0, 0, 0]; "nothing fits")]
+fn split_moves_top_rungs_down_just_enough(best: &[usize], capacity: f64, expected: &[usize]) {
+    let mut askers: Vec<Asker> = best.iter().map(|best| asker(0, *best, false)).collect();
+    brain(terms(), 0).split(&mut askers, capacity);
+    let mut rungs: Vec<usize> = askers.iter().map(|it| it.rung.0).collect();
+    rungs.sort();
+    assert_eq!(rungs, expected);
+}
+
+#[test_case(asker(0, 3, false), asker(1, 3, false), &[2, 3]; "lower value first")]
+#[test_case(asker(1, 3, true), asker(0, 3, false), &[0, 3]; "over its share down to the floor")]
+fn split_spares_value_and_those_within_their_share(one: Asker, other: Asker, expected: &[usize]) {
+    let mut askers = [one, other];
+    brain(terms(), 0).split(&mut askers, if one.over_share { 10.0 } else { 13.21 });
+    assert_eq!(askers.map(|it| it.rung.0), expected);
+}
+
+#[test_case(0.5, 20.0, 1.0, 45.0; "half of the free room is ours")]
+#[test_case(1.25, 50.0, 1.0, 40.0; "each gives up in proportion")]
+#[test_case(0.5, 80.0, 1.0, 120.0; "more of our own than is seen makes the link larger")]
+fn claim_is_own_use_and_a_part_of_the_room(asked: f64, own_kb: f64, fill: f64, expected: f64) {
+    let seen = Seen { asked, own_kb, at: Ms(0.0) };
+    assert!((brain(terms(), 0).claim(100.0, seen, fill) - expected).abs() < 1e-9);
+}
+
+#[test]
+fn own_use_is_taken_as_of_the_note() {
+    let mut it = brain(terms(), 1);
+    playing(&mut it, "a", "s0", 3);
+    it.now = Ms(100_500.0);
+    it.amend(&"a".into(), |it| it.rung = Rung(2));
+    it.note_link(&"s0".into(), 0.9, Ms(100_200.0));
+    assert_eq!((it.servers[&"s0".into()].seen.unwrap().own_kb, it.servers[&"s0".into()].own_kb), (8.0, 4.0));
+}
+
+#[test_case(&["s0"], 1.25, None; "one server is its link")]
+#[test_case(&["s0", "s2"], 1.25, Some(1.25); "several of a rack are the uplink")]
+#[test_case(&["s0", "s1"], 1.25, None; "two racks are two links")]
+fn short_delivery_is_laid_to_link_or_uplink(at: &[&str], link: f64, uplink: Option<f64>) {
+    let mut it = brain(terms(), 4);
+    for id in at {
+        it.note_delivered(&(*id).into(), 0.8, it.now);
+    }
+    assert_eq!(it.servers[&"s0".into()].seen.map(|it| it.asked), Some(link));
+    assert_eq!(it.uplinks.get(&Rack(0)).map(|it| it.asked), uplink);
+}
+
+#[test]
+fn short_delivery_that_links_explain_is_not_the_uplinks() {
+    let mut it = brain(terms(), 4);
+    for id in ["s0", "s2"] {
+        server(&mut it, id).link_note = 1.3;
+        it.note_delivered(&id.into(), 0.8, it.now);
+    }
+    assert!(it.uplinks.is_empty());
+}
+
+#[test_case(Repeat::AtMostOnce, Outcome::NoConnection, "shed", true; "unsafe that never ran")]
+#[test_case(Repeat::AtMostOnce, Outcome::NoAnswer, "abort", false; "unsafe that may have run")]
+#[test_case(Repeat::AtMostOnce, Outcome::CalledOff, "abort", false; "unsafe that was called off")]
+#[test_case(Repeat::Idempotent, Outcome::NoAnswer, "shed", true; "idempotent")]
+#[test_case(Repeat::Deduplicated { group: Group::SameZone, window: Ms(9e9) }, Outcome::NoAnswer, "abort", true; "group")]
+fn rule_2_what_may_have_run(repeat: Repeat, outcome: Outcome, last_word: &str, again: bool) {
+    let mut terms = terms();
+    terms.packages[0].repeat = repeat;
+    let mut it = brain(terms, 2);
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![tried("s0", Some(outcome))]);
+    assert_eq!(it.may_tune_in(&viewing), again);
+    let mut said = Said::default();
+    it.finish(&"a".into(), &mut said);
+    assert_eq!(said.0, [last_word]);
+}
+
+#[test_case(Group::SameZone, 9e9, &["s0", "s1"]; "zone")]
+#[test_case(Group::SameCell, 9e9, &["s0"]; "cell")]
+#[test_case(Group::All, 50.0, &[]; "window is over")]
+fn rule_2_deduplicated_stays_in_group_and_window(group: Group, window: f64, expected: &[&str]) {
+    let mut terms = terms();
+    terms.packages[0].repeat = Repeat::Deduplicated { group, window: Ms(window) };
+    let mut it = brain(terms, 3);
+    server(&mut it, "s2").entry.zone = "there".into();
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![tried("s0", Some(Outcome::NoAnswer))]);
+    let fits = it.servers.iter().filter(|(_, server)| it.same_group(&viewing, server));
+    let fits: Vec<String> = fits.map(|it| it.0.to_string()).collect();
+    assert_eq!(fits, expected);
+}
+
+#[test_case(|it| it.entry.availability = Availability::Leaving; "rule 3 draining")]
+#[test_case(|it| it.entry.availability = Availability::Gone; "rule 3 gone")]
+#[test_case(|it| it.shunned_until = Ms(100_001.0); "shunned after a failure")]
+#[test_case(|it| it.entry.cell = Cell(4); "does not hold the title")]
+#[test_case(|it| it.entry.weight = 0.0; "no room")]
+fn a_server_is_left_out(make: fn(&mut Server)) {
+    let mut it = brain(terms(), 2);
+    make(server(&mut it, "s0"));
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![]);
+    assert_eq!(it.eligible(&viewing), [ServerId::from("s1")]);
+}
+
+#[test]
+fn a_full_list_without_a_server_makes_it_gone() {
+    let mut it = brain(terms(), 2);
+    it.members(Ms(100_000.0), ListMode::Full, &[entry("s1", 1)], &mut Said::default());
+    assert_eq!(it.servers[&"s0".into()].entry.availability, Availability::Gone);
+}
+
+#[test]
+fn another_holder_comes_before_one_that_failed() {
+    let mut it = brain(terms(), 3);
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![tried("s1", Some(Outcome::TurnedAway))]);
+    assert_eq!(it.eligible(&viewing), [ServerId::from("s0"), ServerId::from("s2")]);
+}
+
+// 48 places over 10 s, half warm, 4 times that for 1 s, over 1.5 as packages differ: 6.4, so 3 for each of two.
+#[test_case(Ms(100_001.0), 0, 2, true; "cold, paced")]
+#[test_case(Ms(100_001.0), 0, 3, false; "cold, its part is used up")]
+#[test_case(Ms::LONG_AGO, 0, 9, true; "warm")]
+#[test_case(Ms::LONG_AGO, 1, 3, false; "failed, may have restarted unseen")]
+fn rule_4_cold_pace(cold_until: Ms, failures: u32, sent: usize, allowed: bool) {
+    let mut it = brain(terms(), 1);
+    let now = it.now;
+    let server = server(&mut it, "s0");
+    (server.cold_until, server.failures) = (cold_until, failures);
+    server.sent = vec![now; sent];
+    assert_eq!(it.pace_allows(&it.servers[&"s0".into()]), allowed);
+}
+
+#[test]
+fn rule_4_many_managers_take_turns() {
+    let mut sent: Vec<f64> = Vec::new();
+    for me in 0..9 {
+        let mut it = brain(Terms { managers: 9.0, me: ManagerIx(me), ..terms() }, 1);
+        server(&mut it, "s0").cold_until = Ms(1e9);
+        for tick in 0..2000 {
+            it.now = Ms(100_000.0 + tick as f64 * 10.0);
+            if it.pace_allows(&it.servers[&"s0".into()]) {
+                let now = it.now;
+                server(&mut it, "s0").sent.push(now);
+                sent.push(now.0);
+            }
+        }
+    }
+    assert!(sent.len() > 9);
+    assert!(sent.iter().all(|end| sent.iter().filter(|at| end - 1000.0 < **at && *at <= end).count() <= 6));
+}
+
+#[test]
+fn a_server_that_answers_again_may_just_have_restarted() {
+    let mut it = brain(terms(), 1);
+    it.judge(&"s0".into(), Outcome::ConnectionLost);
+    it.judge(&"s0".into(), Outcome::Served);
+    assert_eq!(it.servers[&"s0".into()].cold_until, Ms(110_000.0));
+}
+
+#[test_case(1, false; "taken")]
+#[test_case(2, true; "one is free")]
+fn rule_5_seats_count_set_ups(seats: usize, free: bool) {
+    let mut terms = terms();
+    terms.packages[0].seats = seats;
+    let mut it = brain(terms, 1);
+    add(&mut it, "a", Phase::TuningIn, 0, vec![tried("s0", None)]);
+    let viewing = add(&mut it, "b", Phase::Waiting, 0, vec![]);
+    assert_eq!(it.seat_free(&viewing), free);
+}
+
+#[test]
+fn rule_5_no_rung_under_the_floor() {
+    let mut terms = terms();
+    terms.packages[0].floor = Rung(2);
+    terms.link_unit_kb = 0.1;
+    let mut it = brain(terms, 1);
+    let viewing = add(&mut it, "a", Phase::Waiting, 2, vec![]);
+    assert_eq!(it.draw(&viewing, &"s0".into()), Rung(2));
+}
+
+#[test_case(1, 1, true; "within")]
+#[test_case(2, 1, false; "used up")]
+#[test_case(2, 4, true; "earned by viewings taken")]
+fn rule_6_budget(further: usize, taken: usize, allowed: bool) {
+    let budget = Some(Budget { free: 1.0, ratio: 0.5, span: Ms(1000.0) });
+    let mut it = brain(Terms { budget, ..terms() }, 1);
+    it.further = [vec![it.now; further - 1], vec![Ms(98_000.0); 5]].concat();
+    it.taken = vec![it.now; taken];
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![tried("s0", Some(Outcome::TurnedAway))]);
+    assert_eq!(it.may_tune_in(&viewing), allowed);
+}
+
+#[test_case(1, true, 500.0; "another may follow")]
+#[test_case(1, false, 4000.0; "no other holder")]
+#[test_case(3, true, 4000.0; "the last tune-in")]
+fn time_out_leaves_room_for_another(no: usize, others: bool, expected: f64) {
+    let mut it = brain(terms(), 2);
+    let earlier = vec![tried("s0", Some(Outcome::TurnedAway)); no - 1];
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, earlier);
+    assert_eq!(it.time_out(&viewing, others), Ms(expected));
+}
+
+#[test_case(0, 0.0, &["shed"]; "no holder at all")]
+#[test_case(1, 500.0, &[]; "held while a holder is shunned")]
+#[test_case(1, 1000.0, &["shed"]; "blocked once the join target is gone")]
+fn give_up_answers_at_once(servers: usize, after: f64, expected: &[&str]) {
+    let mut it = brain(terms(), servers);
+    if servers > 0 {
+        server(&mut it, "s0").shunned_until = Ms(1e9);
+    }
+    add(&mut it, "a", Phase::Waiting, 0, vec![]);
+    it.now = it.now + Ms(after);
+    let mut said = Said::default();
+    it.give_up(&mut said);
+    assert_eq!(said.0, expected);
+}
+
+#[test]
+fn rule_1_an_overdue_viewing_is_answered_once() {
+    let mut it = brain(terms(), 1);
+    add(&mut it, "a", Phase::Waiting, 0, vec![tried("s0", Some(Outcome::NoAnswer))]);
+    it.now = Ms(104_000.0);
+    let mut said = Said::default();
+    it.settle(&mut said);
+    it.settle(&mut said);
+    assert_eq!(said.0, ["abort"]);
+}
+
+#[test_case(1.5, 90_000.0, &["b to 2"]; "bound is broken")]
+#[test_case(0.1, 90_000.0, &["a to 2"]; "room for a whole step")]
+#[test_case(0.1, 99_900.0, &[]; "not settled yet")]
+#[test_case(0.6, 90_000.0, &[]; "between the fills")]
+fn steps_are_paced(asked: f64, unsettled_at: f64, expected: &[&str]) {
+    let mut it = brain(terms(), 1);
+    it.terms.link_unit_kb = 12.0;
+    playing(&mut it, "a", "s0", 1);
+    playing(&mut it, "b", "s0", 3);
+    it.note_link(&"s0".into(), asked, it.now);
+    server(&mut it, "s0").unsettled_at = Ms(unsettled_at);
+    let mut said = Said::default();
+    it.step(&mut said);
+    it.step(&mut said);
+    assert_eq!(said.0, expected);
+}
+
+#[test]
+fn the_less_used_of_two_holders_is_picked() {
+    let mut it = brain(terms(), 2);
+    it.note_link(&"s0".into(), 0.9, it.now);
+    it.note_link(&"s1".into(), 0.2, it.now);
+    add(&mut it, "a", Phase::Waiting, 0, vec![]);
+    let mut said = Said::default();
+    it.tune_in(&mut said);
+    assert_eq!(said.0, ["a to 3", "relay s1 500"]);
+}
+
+#[test_case(Terms { ladder_kb: vec![], packages: vec![Package { top: Rung(0), ..package(1.0) }], ..terms() }; "no ladder")]
+#[test_case(Terms { link_unit_kb: 0.0, uplink_kb: 0.0, ..terms() }; "zero capacity")]
+#[test_case(Terms { managers: 0.0, cells: 0, racks: 0, ..terms() }; "no managers, cells or racks")]
+#[test_case(Terms { reports_every: Ms(0.0), seen_after: Ms(0.0), tick: Ms(0.0), ..terms() }; "no notes")]
+fn odd_terms_lead_to_one_orderly_answer(terms: Terms) {
+    let mut it = brain(terms, 1);
+    let mut said = Said::default();
+    it.incoming(it.now, wish("a"), &mut said);
+    let last = said.0.last().unwrap();
+    assert!(last == "shed" || last.starts_with("relay s0"));
+}
+
+#[test]
+fn asks_for_the_list_where_it_is_not_pushed() {
+    let mut said = Said::default();
+    let mut it = Brain::born(Ms(0.0), 1, Terms { must_subscribe: true, ..terms() }, &mut said);
+    it.members(Ms(1.0), ListMode::Failed, &[], &mut said);
+    assert_eq!(said.0, ["subscribe", "subscribe"]);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,6 +115,8 @@
 pub struct Server {
     pub entry: Entry,
     pub seen: Option<Seen>,
+    /// What the last note on the link itself said.
+    pub link_note: f64,
     /// Share last delivered to viewings there, and when.
     pub delivered: (f64, Ms),
     /// Viewings that the manager has there, set-ups included, and their number by package.
@@ -150,6 +152,7 @@
         Server {
             entry,
             seen: None,
+            link_note: 0.0,
             delivered: (1.0, Ms::LONG_AGO),
             held: BTreeSet::new(),
             counts: BTreeMap::new(),
