--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,9 +24,11 @@
 const SETTLED: f64 = 1.0;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
+/// So many of the servers held in a rack must show it before short delivery is laid to the uplink.
+const MOST: f64 = 0.6;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
-/// One on an uplink that is never reported counts so much longer.
+/// What is known of an uplink that is never reported fades in about this many.
 const TRUST: f64 = 4.0;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
@@ -726,9 +728,8 @@
         }
     }
 
-    fn fresh(&self, seen: Option<Seen>, trust: f64) -> Option<Seen> {
-        let lasts = self.note_gap() * STALE * trust + self.terms.seen_after;
-        seen.filter(|it| self.now - it.at < lasts)
+    fn fresh(&self, seen: Option<Seen>) -> Option<Seen> {
+        seen.filter(|it| self.now - it.at < self.note_gap() * STALE + self.terms.seen_after)
     }
 
     /// The last note on a link; without one, the other managers' part is as elsewhere.
@@ -736,16 +737,21 @@
         let own_kb = server.own_kb;
         let others = self.common_use * (1.0 - 1.0 / self.terms.managers.max(1.0));
         let asked = others + own_kb / self.link_kb(server).max(1.0);
-        self.fresh(server.seen, 1.0).unwrap_or(Seen { asked, own_kb, at: self.now })
+        self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
-    /// The last note on an uplink; without one, the other managers ask as much of it as this one.
+    /// The last note on an uplink. Without one, the other managers ask as much of it as this one; what short
+    /// delivery showed of an uplink that is never reported fades into that.
     fn uplink_seen(&self, rack: Rack) -> Seen {
-        let own_kb = self.own_in(rack);
-        let asked = (own_kb * self.terms.managers / self.terms.uplink_kb.max(1.0)).min(FILL);
-        let trust = if self.terms.uplinks_reported { 1.0 } else { TRUST };
+        let (own_kb, told) = (self.own_in(rack), self.terms.uplink_kb.max(1.0));
+        let guess = (own_kb * self.terms.managers / told).min(FILL);
         let seen = self.uplinks.get(&rack).copied();
-        self.fresh(seen, trust).unwrap_or(Seen { asked, own_kb, at: self.now })
+        let faded = seen.filter(|_| !self.terms.uplinks_reported).map_or(guess, |it| {
+            let left = (-((self.now - it.at) / (self.note_gap() * TRUST))).exp();
+            guess + (it.asked + (own_kb - it.own_kb) / told - guess) * left
+        });
+        let faded = Seen { asked: faded, own_kb, at: self.now };
+        self.fresh(seen).filter(|_| self.terms.uplinks_reported).unwrap_or(faded)
     }
 
     fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
@@ -793,7 +799,7 @@
             }
         }
         let known: Vec<f64> =
-            self.servers.values().filter_map(|it| self.fresh(it.seen, 1.0)).map(|it| it.asked).collect();
+            self.servers.values().filter_map(|it| self.fresh(it.seen)).map(|it| it.asked).collect();
         if !known.is_empty() {
             self.common_use = (known.iter().sum::<f64>() / known.len() as f64).min(FILL);
         }
@@ -829,13 +835,16 @@
             let unexplained = it.link_note * it.delivered.0 < EXPLAINED;
             now - it.delivered.1 < self.terms.seen_after * 3.0 && it.delivered.0 < 0.98 && unexplained
         };
-        let there: Vec<&Server> = self.servers.values().filter(|it| self.rack(it) == rack).collect();
+        let there = self.servers.values().filter(|it| self.rack(it) == rack && !it.held.is_empty());
+        let there: Vec<&Server> = there.collect();
+        let most = (there.len() as f64 * MOST).max(2.0);
         let short: Vec<f64> = there.into_iter().filter(short).map(|it| it.delivered.0).collect();
         let best = short.iter().fold(0.0, |best: f64, share| best.max(*share));
-        if short.len() > 1 {
+        let common = short.len() as f64 >= most;
+        if common {
             self.note_uplink(server, 1.0 / best, at);
         }
-        if share < best * 0.95 || short.len() < 2 {
+        if share < best * 0.95 || !common {
             self.note_link(server, asked, at);
         }
     }
