--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -185,10 +185,13 @@
 }
 
 #[test_case(&["s0"], 1.25, None; "one server is its link")]
-#[test_case(&["s0", "s2"], 1.25, Some(1.25); "several of a rack are the uplink")]
+#[test_case(&["s0", "s2"], 1.25, Some(1.25); "most of a rack are the uplink")]
 #[test_case(&["s0", "s1"], 1.25, None; "two racks are two links")]
 fn short_delivery_is_laid_to_link_or_uplink(at: &[&str], link: f64, uplink: Option<f64>) {
-    let mut it = brain(terms(), 4);
+    let mut it = brain(terms(), 8);
+    for id in ["s0", "s1", "s2", "s4"] {
+        playing(&mut it, id, id, 0);
+    }
     for id in at {
         it.note_delivered(&(*id).into(), 0.8, it.now);
     }
@@ -200,6 +203,7 @@
 fn short_delivery_that_links_explain_is_not_the_uplinks() {
     let mut it = brain(terms(), 4);
     for id in ["s0", "s2"] {
+        playing(&mut it, id, id, 0);
         server(&mut it, id).link_note = 1.3;
         it.note_delivered(&id.into(), 0.8, it.now);
     }
