--- a/src/brain.rs
+++ b/src/brain.rs
@@ -150,6 +150,9 @@
     pub fn preexisting(&mut self, now: Ms, wish: Wish, server: ServerId, out: &mut dyn Answers) {
         self.now = now;
         let tune_in = TuneIn { server, sent: now, outcome: None };
+        if let Some(server) = self.servers.get_mut(&tune_in.server) {
+            server.proven = true;
+        }
         self.take(wish, Phase::Playing, vec![tune_in]);
         self.settle(out);
     }
@@ -561,25 +564,28 @@
     }
 
     /// Rule 4: this manager's part of what a cold server takes in any window. Where the part is under one,
-    /// managers take turns by the clock, two turns touching any window.
+    /// managers take turns by the clock, another at each cell, in turns so long that no window touches too many.
     fn pace_allows(&self, server: &Server) -> bool {
-        if server.failures == 0 && self.now >= server.cold_until.max(self.unsure_until) {
+        let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
+        let sure = server.failures == 0 && (server.proven || self.now >= self.unsure_until);
+        if cold.lasts <= Ms(0.0) || (sure && self.now >= server.cold_until) {
             return true;
         }
-        let cold = &self.terms.cold;
         let places = self.terms.places.get(&server.entry.kind).copied().unwrap_or(0.0);
         // Set-ups of a package may weigh more than the mean of all.
         let weight = if self.terms.packages.len() > 1 { 1.5 } else { 1.0 };
         let pace = places / cold.lasts.0 * cold.start_capacity * cold.fall_multiple / weight;
-        let all = pace * cold.fall_window.0;
+        let all = (pace * cold.fall_window.0).floor();
         let since = |start: Ms| server.sent.iter().filter(|at| **at > start).count() as f64;
-        let mine = (all / self.terms.managers.max(1.0)).floor();
+        let mine = (all / managers).floor();
         if mine >= 1.0 {
             return since(self.now - cold.fall_window) < mine;
         }
-        let turn = (self.now / cold.fall_window).floor();
-        let my_turn = turn.rem_euclid(self.terms.managers.max(1.0)) == self.terms.me.0 as f64;
-        my_turn && all >= 2.0 && since(cold.fall_window * turn - Ms(1e-6)) + 1.0 <= (all / 2.0).floor()
+        let length = if all >= 2.0 { cold.fall_window * (1.0 / (all - 1.0)) } else { cold.fall_window * 2.0 };
+        let turn = (self.now / length).floor();
+        let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
+        let my_turn = (turn + server.entry.cell.0 as f64).rem_euclid(managers) == self.terms.me.0 as f64;
+        my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
     }
 
     fn time_out(&self, viewing: &Viewing, others: bool) -> Ms {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -280,11 +280,13 @@
     assert_eq!(it.pace_allows(&it.servers[&"s0".into()]), allowed);
 }
 
-#[test]
-fn rule_4_many_managers_take_turns() {
+#[test_case(48.0, 6; "a turn each sixth of a window")]
+#[test_case(8.0, 1; "one set-up in any window")]
+fn rule_4_many_managers_take_turns(places: f64, most: usize) {
     let mut sent: Vec<f64> = Vec::new();
     for me in 0..9 {
         let mut it = brain(Terms { managers: 9.0, me: ManagerIx(me), ..terms() }, 1);
+        it.terms.places.insert("k".into(), places);
         server(&mut it, "s0").cold_until = Ms(1e9);
         for tick in 0..2000 {
             it.now = Ms(100_000.0 + tick as f64 * 10.0);
@@ -296,7 +298,9 @@
         }
     }
     assert!(sent.len() > 9);
-    assert!(sent.iter().all(|end| sent.iter().filter(|at| end - 1000.0 < **at && *at <= end).count() <= 6));
+    assert!(sent
+        .iter()
+        .all(|end| sent.iter().filter(|at| end - 1000.0 < **at && *at <= end).count() <= most));
 }
 
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,6 +128,8 @@
     /// When the manager sent set-ups there, newest last.
     pub sent: Vec<Ms>,
     pub cold_until: Ms,
+    /// A viewing handed over at the start plays there, so it has not restarted since.
+    pub proven: bool,
     /// Failures in a row, and until when they keep the server out of the pick.
     pub failures: u32,
     pub shunned_until: Ms,
@@ -160,6 +162,7 @@
             ledger: Vec::new(),
             sent: Vec::new(),
             cold_until,
+            proven: false,
             failures: 0,
             shunned_until: Ms::LONG_AGO,
             look_at: Ms::LONG_AGO,
