--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,10 +18,10 @@
 /// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
 /// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
 const FILL: f64 = 0.92;
-const DOWN_FILL: f64 = 1.0;
+const DOWN_FILL: f64 = 1.12;
 const UP_FILL: f64 = 0.85;
 /// How long a server must have been settled before a step up, over the time between reports.
-const SETTLED: f64 = 1.0;
+const SETTLED: f64 = 0.5;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
 /// So many of the servers held in a rack must show it before short delivery is laid to the uplink.
