--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,6 +20,8 @@
 const FILL: f64 = 0.92;
 const DOWN_FILL: f64 = 1.12;
 const UP_FILL: f64 = 0.85;
+/// An uplink is filled so much less than a link: all of a rack suffers when it is short.
+const UPLINK_CARE: f64 = 1.04;
 /// How long a server must have been settled before a step up, over the time between reports.
 const SETTLED: f64 = 0.5;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
@@ -769,7 +771,7 @@
         if self.terms.uplink_kb <= 0.0 {
             return f64::INFINITY;
         }
-        self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill)
+        self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill * UPLINK_CARE)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
