--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,8 @@
 const FILL: f64 = 0.92;
 const DOWN_FILL: f64 = 1.12;
 const UP_FILL: f64 = 0.85;
-/// An uplink is filled so much less than a link: all of a rack suffers when it is short.
-const UPLINK_CARE: f64 = 1.04;
+/// An uplink that is reported may be filled this far: it pools the swings of many viewings.
+const POOLED_FILL: f64 = 0.98;
 /// How long a server must have been settled before a step up, over the time between reports.
 const SETTLED: f64 = 0.5;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
@@ -771,7 +771,8 @@
         if self.terms.uplink_kb <= 0.0 {
             return f64::INFINITY;
         }
-        self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill * UPLINK_CARE)
+        let fill = if self.terms.uplinks_reported { fill.max(POOLED_FILL) } else { fill };
+        self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
