--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,6 +22,8 @@
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.98;
+/// An uplink seen to be asked for more than this is short for all of its rack: it is brought down to this.
+const SHORT: f64 = 1.04;
 /// How long a server must have been settled before a step up, over the time between reports.
 const SETTLED: f64 = 0.5;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
@@ -772,7 +774,9 @@
             return f64::INFINITY;
         }
         let fill = if self.terms.uplinks_reported { fill.max(POOLED_FILL) } else { fill };
-        self.claim(self.terms.uplink_kb, self.uplink_seen(rack), fill)
+        let seen = self.uplink_seen(rack);
+        let fill = if seen.asked > SHORT { fill.min(SHORT) } else { fill };
+        self.claim(self.terms.uplink_kb, seen, fill)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -174,6 +174,16 @@
     assert!((brain(terms(), 0).claim(100.0, seen, fill) - expected).abs() < 1e-9);
 }
 
+// A burst left an uplink at 0.88 of what was asked for seconds: the tolerance of a link is too much for it.
+#[test_case(1.3, 40.0; "a short uplink comes down to 1.04")]
+#[test_case(0.5, 300.0; "a free one leaves half of its room to 1.1")]
+fn a_short_uplink_is_brought_down_further(asked: f64, expected: f64) {
+    let mut it = brain(terms(), 1);
+    let own_kb = if asked > 1.0 { 50.0 } else { 0.0 };
+    it.uplinks.insert(Rack(0), Seen { asked, own_kb, at: it.now });
+    assert!((it.uplink_claim(Rack(0), 1.1) - expected).abs() < 1e-9);
+}
+
 #[test]
 fn own_use_is_taken_as_of_the_note() {
     let mut it = brain(terms(), 1);
