--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 use crate::answers::Answers;
 use crate::ids::{BellTag, ManagerIx, PackageIx, Rack, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
 use crate::state::{
-    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Topic, TuneIn, Viewing, Wish,
+    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Told, Topic, TuneIn, Viewing, Wish,
 };
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
@@ -22,6 +22,8 @@
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.98;
+/// One that is never reported is filled so much less than a link.
+const DOUBT: f64 = 0.1;
 /// An uplink seen to be asked for more than this is short for all of its rack: it is brought down to this.
 const SHORT: f64 = 1.04;
 /// How long a server must have been settled before a step up, over the time between reports.
@@ -30,10 +32,15 @@
 const EXPLAINED: f64 = 0.92;
 /// So many of the servers held in a rack must show it before short delivery is laid to the uplink.
 const MOST: f64 = 0.6;
+/// Peers are told so often, over the time between notes, and of so many racks as a message holds.
+const TELL: f64 = 0.25;
+const MOST_TOLD: u64 = 64;
+/// Between two steps up at a server, over the time between notes.
+const UP_PACE: f64 = 0.2;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
 /// What is known of an uplink that is never reported fades in about this many.
-const TRUST: f64 = 4.0;
+const TRUST: f64 = 3.0;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
@@ -48,8 +55,15 @@
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
 /// Each is a condition and an effect; it tells whether it fired.
-const RULES: [Rule; 6] =
-    [Brain::end_overdue, Brain::give_up, Brain::tune_in, Brain::hold, Brain::step, Brain::keep_awake];
+const RULES: [Rule; 7] = [
+    Brain::end_overdue,
+    Brain::give_up,
+    Brain::tune_in,
+    Brain::hold,
+    Brain::step,
+    Brain::tell_peers,
+    Brain::keep_awake,
+];
 
 /// A multiply-with-carry generator.
 struct Chance(u64);
@@ -78,6 +92,10 @@
     unsure_until: Ms,
     servers: BTreeMap<ServerId, Server>,
     uplinks: BTreeMap<Rack, Seen>,
+    /// Of an uplink that is not reported: what is asked over what is counted, less one, and when it was seen.
+    missing: BTreeMap<Rack, (f64, Ms)>,
+    peers: BTreeMap<ManagerIx, Told>,
+    tell_at: Ms,
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
     waiting: BTreeSet<(Ms, ViewingId)>,
@@ -100,6 +118,9 @@
             unsure_until: now + terms.cold.lasts,
             servers: BTreeMap::new(),
             uplinks: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            tell_at: now,
             viewings: BTreeMap::new(),
             waiting: BTreeSet::new(),
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
@@ -258,8 +279,12 @@
         self.settle(out);
     }
 
-    pub fn datagram(&mut self, now: Ms, _from: ManagerIx, _payload: &[u8], out: &mut dyn Answers) {
+    /// A peer tells what it asks of each rack's uplink, four bytes a rack.
+    pub fn datagram(&mut self, now: Ms, from: ManagerIx, payload: &[u8], out: &mut dyn Answers) {
         self.now = now;
+        let kb =
+            payload.chunks_exact(4).map(|it| f64::from(u32::from_be_bytes([it[0], it[1], it[2], it[3]])));
+        self.peers.insert(from, Told { kb: kb.collect(), at: now });
         self.settle(out);
     }
 
@@ -370,8 +395,9 @@
             None
         };
         if let Some(server) = self.servers.get_mut(&id) {
-            server.look_at = next;
-            if broken || changed.is_some() {
+            server.look_at =
+                if changed.is_some() && !broken { now + self.terms.reports_every * UP_PACE } else { next };
+            if broken {
                 server.unsettled_at = now;
             }
         }
@@ -382,6 +408,18 @@
         true
     }
 
+    /// Where uplinks are not reported, the managers tell each other what they ask of them.
+    fn tell_peers(&mut self, out: &mut dyn Answers) -> bool {
+        let useful = self.terms.peer_messages && !self.terms.uplinks_reported && self.terms.managers > 1.0;
+        if !useful || self.now < self.tell_at {
+            return false;
+        }
+        let kb = (0..self.terms.racks.min(MOST_TOLD)).map(|rack| self.own_in(Rack(rack)) as u32);
+        out.publish(None, &kb.flat_map(u32::to_be_bytes).collect::<Vec<u8>>());
+        self.tell_at = self.now + self.note_gap() * TELL;
+        true
+    }
+
     fn keep_awake(&mut self, out: &mut dyn Answers) -> bool {
         if self.viewings.is_empty() || self.bell_at.is_some_and(|at| self.now < at) {
             return false;
@@ -750,18 +788,20 @@
         self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
-    /// The last note on an uplink. Without one, the other managers ask as much of it as this one; what short
-    /// delivery showed of an uplink that is never reported fades into that.
+    /// The last note on an uplink. Where none are sent: what the managers count there, each as it last told or
+    /// else as much as this one, times what short delivery showed to be missing from that count.
     fn uplink_seen(&self, rack: Rack) -> Seen {
-        let (own_kb, told) = (self.own_in(rack), self.terms.uplink_kb.max(1.0));
-        let guess = (own_kb * self.terms.managers / told).min(FILL);
-        let seen = self.uplinks.get(&rack).copied();
-        let faded = seen.filter(|_| !self.terms.uplinks_reported).map_or(guess, |it| {
-            let left = (-((self.now - it.at) / (self.note_gap() * TRUST))).exp();
-            guess + (it.asked + (own_kb - it.own_kb) / told - guess) * left
+        let own_kb = self.own_in(rack);
+        let told = self.peers.values().filter(|it| self.now - it.at < self.note_gap() * STALE);
+        let told: Vec<f64> = told.map(|it| it.kb.get(rack.0 as usize).copied().unwrap_or(0.0)).collect();
+        let silent = (self.terms.managers - 1.0 - told.len() as f64).max(0.0);
+        let counted = (own_kb * (1.0 + silent) + told.iter().sum::<f64>()) / self.terms.uplink_kb.max(1.0);
+        let missing = self.missing.get(&rack).map_or(0.0, |it| {
+            let left = (-((self.now - it.1) / (self.note_gap() * TRUST))).exp();
+            it.0 * left
         });
-        let faded = Seen { asked: faded, own_kb, at: self.now };
-        self.fresh(seen).filter(|_| self.terms.uplinks_reported).unwrap_or(faded)
+        let guess = Seen { asked: counted * (1.0 + missing), own_kb, at: self.now };
+        self.fresh(self.uplinks.get(&rack).copied()).unwrap_or(guess)
     }
 
     fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
@@ -773,7 +813,7 @@
         if self.terms.uplink_kb <= 0.0 {
             return f64::INFINITY;
         }
-        let fill = if self.terms.uplinks_reported { fill.max(POOLED_FILL) } else { fill };
+        let fill = if self.terms.uplinks_reported { fill.max(POOLED_FILL) } else { fill - DOUBT };
         let seen = self.uplink_seen(rack);
         let fill = if seen.asked > SHORT { fill.min(SHORT) } else { fill };
         self.claim(self.terms.uplink_kb, seen, fill)
@@ -823,7 +863,15 @@
             return;
         };
         let there = self.servers.values().filter(|it| self.rack(it) == rack);
-        let own_kb = there.map(|it| it.own_at(at)).sum();
+        let own_kb: f64 = there.map(|it| it.own_at(at)).sum();
+        if !self.terms.uplinks_reported {
+            let before = self.missing.remove(&rack).map_or(f64::MAX, |it| it.0);
+            // What was counted then; the others are taken to have changed as this one has since.
+            let counted = self.uplink_seen(rack).asked * (own_kb / self.own_in(rack).max(1.0)).max(1.0);
+            let missing = (asked / counted.max(1e-6) - 1.0).max(0.0);
+            self.missing.insert(rack, (if asked > 1.0 { missing } else { missing.min(before) }, self.now));
+            return;
+        }
         if self.uplinks.get(&rack).is_none_or(|it| it.at <= at) {
             self.uplinks.insert(rack, Seen { asked, own_kb, at });
         }
@@ -839,7 +887,7 @@
         it.delivered = (share, at);
         let rack = self.rack(&self.servers[server]);
         if share >= 0.98 {
-            if !self.terms.uplinks_reported && self.uplinks.contains_key(&rack) {
+            if self.missing.contains_key(&rack) {
                 self.note_uplink(server, 1.0, at);
             }
             return;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -27,7 +27,9 @@
         self.0.push(format!("rebalance {vw}"));
     }
     fn schedule(&mut self, _: BellTag, _: Ms) {}
-    fn publish(&mut self, _: Option<ManagerIx>, _: &[u8]) {}
+    fn publish(&mut self, _: Option<ManagerIx>, payload: &[u8]) {
+        self.0.push(format!("tell {payload:?}"));
+    }
     fn inspect(&mut self, _: &ServerId) {}
     fn subscribe(&mut self) {
         self.0.push("subscribe".into());
@@ -70,6 +72,7 @@
         change_cost: Ms(500.0),
         max_tune_ins: 3,
         max_stay_away: None,
+        peer_messages: false,
         must_subscribe: false,
         cross_price: 0.0,
         move_price: 0.1,
@@ -184,6 +187,29 @@
     assert!((it.uplink_claim(Rack(0), 1.1) - expected).abs() < 1e-9);
 }
 
+#[test_case(None, 0.1; "a silent peer asks as much as this one")]
+#[test_case(Some(350.0), 0.4; "a peer asks what it told")]
+fn an_unreported_uplink_is_counted(told: Option<f64>, expected: f64) {
+    let mut it = brain(Terms { uplinks_reported: false, ..terms() }, 1);
+    server(&mut it, "s0").own_kb = 50.0;
+    if let Some(kb) = told {
+        it.datagram(it.now, ManagerIx(1), &(kb as u32).to_be_bytes(), &mut Said::default());
+    }
+    assert!((it.uplink_seen(Rack(0)).asked - expected).abs() < 1e-9);
+}
+
+// Steps taken since the note made the count too low, so that an uplink was held down long after it had room.
+#[test_case(1.2, 0.96; "a fifth more is asked than was counted then")]
+#[test_case(1.0, 0.8; "a note that it suffices shows nothing missing")]
+fn what_an_unreported_uplink_misses(asked: f64, expected: f64) {
+    let mut it = brain(Terms { uplinks_reported: false, ..terms() }, 1);
+    let server = server(&mut it, "s0");
+    (server.own_kb, server.ledger) = (400.0, vec![(Ms(99_900.0), -100.0)]);
+    it.missing.insert(Rack(0), (0.0, Ms(99_000.0)));
+    it.note_uplink(&"s0".into(), asked, Ms(99_500.0));
+    assert!((it.uplink_seen(Rack(0)).asked - expected).abs() < 1e-9);
+}
+
 #[test]
 fn own_use_is_taken_as_of_the_note() {
     let mut it = brain(terms(), 1);
@@ -430,6 +456,18 @@
     assert!(last == "shed" || last.starts_with("relay s0"));
 }
 
+#[test_case(true, false, &["tell [0, 0, 0, 7, 0, 0, 0, 0]"]; "uplinks are not reported")]
+#[test_case(true, true, &[]; "they are")]
+#[test_case(false, false, &[]; "messages are not allowed")]
+fn peers_are_told_where_it_serves(peer_messages: bool, uplinks_reported: bool, expected: &[&str]) {
+    let mut it = brain(Terms { peer_messages, uplinks_reported, ..terms() }, 1);
+    server(&mut it, "s0").own_kb = 7.0;
+    let mut said = Said::default();
+    it.tell_peers(&mut said);
+    it.tell_peers(&mut said);
+    assert_eq!(said.0, expected);
+}
+
 #[test]
 fn asks_for_the_list_where_it_is_not_pushed() {
     let mut said = Said::default();
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,13 @@
     pub at: Ms,
 }
 
+/// What a peer last said that it asks of each rack's uplink.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub kb: Vec<f64>,
+    pub at: Ms,
+}
+
 #[derive(Clone, Debug)]
 pub struct Server {
     pub entry: Entry,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -74,6 +74,7 @@
     pub change_cost: Ms,
     pub max_tune_ins: usize,
     pub max_stay_away: Option<Ms>,
+    pub peer_messages: bool,
     pub must_subscribe: bool,
     pub cross_price: f64,
     pub move_price: f64,
