--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,6 +37,8 @@
 const MOST_TOLD: u64 = 64;
 /// Between two steps up at a server, over the time between notes.
 const UP_PACE: f64 = 0.2;
+/// Normal point of the margin on a tenant's share.
+const SHARE_PHI: f64 = 2.0;
 /// A note older than this many report times counts no more.
 const STALE: f64 = 2.5;
 /// What is known of an uplink that is never reported fades in about this many.
@@ -438,7 +440,8 @@
 
     fn take(&mut self, wish: Wish, phase: Phase, tune_ins: Vec<TuneIn>) {
         let rung = self.terms.packages[wish.package.0].floor;
-        let over_share = wish.tenant.is_some_and(|tenant| self.over_share(tenant));
+        let asked = wish.tenant.filter(|_| phase == Phase::Waiting);
+        let over_share = asked.is_some_and(|tenant| self.over_share(tenant));
         let (taken, started) = (self.now, Ms::LONG_AGO);
         let vw = wish.vw.clone();
         let viewing = Viewing {
@@ -455,13 +458,17 @@
         self.amend(&vw, |it| (it.phase, it.tune_ins) = (phase, tune_ins));
     }
 
-    /// Counts an arrival; true while a tenant's viewings come faster than its share allows.
+    /// True for an arrival past its tenant's share: this manager's equal part of it, with a root margin, since
+    /// tenants lean. Only what is within is counted, so that a crowd still gets the share itself.
     fn over_share(&mut self, tenant: TenantIx) -> bool {
         let fade = self.terms.cold.lasts.max(Ms(1e3));
-        let sum = &mut self.arrivals[tenant.0];
-        sum.add(self.now, fade, 1.0);
-        let rate = sum.read(self.now, fade) / (fade / Ms(1e3)) * self.terms.managers;
-        rate > self.terms.tenants[tenant.0].allowance_per_s
+        let allowed = self.terms.tenants[tenant.0].allowance_per_s * (fade / Ms(1e3));
+        let part = allowed / self.terms.managers.max(1.0);
+        let over = self.arrivals[tenant.0].read(self.now, fade) >= part + SHARE_PHI * part.sqrt();
+        if !over {
+            self.arrivals[tenant.0].add(self.now, fade, 1.0);
+        }
+        over
     }
 
     /// Changes a viewing and keeps in step what is counted of it: the waiting, a server's held and its rates.
@@ -689,19 +696,19 @@
         counts.iter().map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
     }
 
-    /// Who goes down first is greatest: over its tenant's share, then the top rung, then the lower value, then
-    /// the one least below its request.
+    /// Who goes down first is greatest: the top rung, and there the one over its tenant's share, then the lower
+    /// value, then the one least below its request.
     fn goes_down(&self, a: &Asker, b: &Asker) -> Ordering {
         let value = |it: &Asker| self.terms.packages[it.package.0].value;
-        let over = a.over_share.cmp(&b.over_share).then(a.rung.cmp(&b.rung));
-        over.then(value(b).total_cmp(&value(a))).then(below(b).cmp(&below(a)))
+        let top = a.rung.cmp(&b.rung).then(a.over_share.cmp(&b.over_share));
+        top.then(value(b).total_cmp(&value(a))).then(below(b).cmp(&below(a)))
     }
 
-    /// Who goes up first is greatest: within its tenant's share, then furthest below its request, then value.
+    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, of value.
     fn goes_up(&self, a: &Asker, b: &Asker) -> Ordering {
         let value = |it: &Asker| self.terms.packages[it.package.0].value;
-        let within = b.over_share.cmp(&a.over_share).then(below(a).cmp(&below(b)));
-        within.then(value(a).total_cmp(&value(b)))
+        let low = below(a).cmp(&below(b)).then(b.over_share.cmp(&a.over_share));
+        low.then(value(a).total_cmp(&value(b)))
     }
 
     /// The design's split: those who go down first move a rung, one at a time, until the bound holds.
@@ -745,6 +752,14 @@
         };
         let link = lowest(&|id, _| id == server);
         let uplink = lowest(&|_, it| self.rack(it) == rack);
+        if viewing.over_share {
+            // Past its share a viewing takes only what is free: none of the others steps down for it.
+            let mut held: Vec<Asker> = self.askers(server).into_iter().map(|it| it.1).collect();
+            held.push(Asker { rung: self.package(viewing).floor, ..self.asker(viewing) });
+            if self.bound(&held) > self.capacity(server, UP_FILL) {
+                return false;
+            }
+        }
         let told = &self.servers[server];
         let ever = |told: f64, seen: Seen| told * self.part(seen.own_kb, seen.asked * told);
         let link_ever = ever(self.link_kb(told), self.link_seen(told));
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -162,10 +162,10 @@
 }
 
 #[test_case(asker(0, 3, false), asker(1, 3, false), &[2, 3]; "lower value first")]
-#[test_case(asker(1, 3, true), asker(0, 3, false), &[0, 3]; "over its share down to the floor")]
+#[test_case(asker(1, 3, true), asker(0, 3, false), &[2, 3]; "over its share before value")]
 fn split_spares_value_and_those_within_their_share(one: Asker, other: Asker, expected: &[usize]) {
     let mut askers = [one, other];
-    brain(terms(), 0).split(&mut askers, if one.over_share { 10.0 } else { 13.21 });
+    brain(terms(), 0).split(&mut askers, 13.21);
     assert_eq!(askers.map(|it| it.rung.0), expected);
 }
 
@@ -469,6 +469,27 @@
     assert_eq!(said.0, expected);
 }
 
+// One viewing a second is allowed to two managers: 5 and a margin of 4.5 in ten seconds for this one.
+#[test_case(9, false; "within its share")]
+#[test_case(10, true; "a crowd is past it")]
+fn arrivals_past_a_tenants_share(earlier: usize, over: bool) {
+    let mut it = brain(terms(), 0);
+    for _ in 0..earlier {
+        it.over_share(TenantIx(0));
+    }
+    assert_eq!(it.over_share(TenantIx(0)), over);
+}
+
+#[test_case(false, true; "within its share others step down for it")]
+#[test_case(true, false; "past its share it takes only what is free")]
+fn over_share_viewings_take_only_what_is_free(over_share: bool, expected: bool) {
+    let mut it = brain(terms(), 1);
+    it.terms.link_unit_kb = 15.0;
+    playing(&mut it, "b", "s0", 3);
+    let viewing = Viewing { over_share, ..add(&mut it, "a", Phase::Waiting, 0, vec![]) };
+    assert_eq!(it.has_room(&viewing, &"s0".into()), expected);
+}
+
 #[test]
 fn asks_for_the_list_where_it_is_not_pushed() {
     let mut said = Said::default();
