--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,7 +18,7 @@
 /// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
 /// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
 const FILL: f64 = 0.92;
-const DOWN_FILL: f64 = 1.12;
+const DOWN_FILL: f64 = 1.15;
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.98;
@@ -36,7 +36,7 @@
 const TELL: f64 = 0.25;
 const MOST_TOLD: u64 = 64;
 /// Between two steps up at a server, over the time between notes.
-const UP_PACE: f64 = 0.2;
+const UP_PACE: f64 = 0.15;
 /// Normal point of the margin on a tenant's share.
 const SHARE_PHI: f64 = 2.0;
 /// A note older than this many report times counts no more.
@@ -46,7 +46,7 @@
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
-const CROSS_HANDICAP: f64 = 5.0;
+const CROSS_HANDICAP: f64 = 2.0;
 /// Each server is weighed, and each held viewing looked at, once in this part of the shortest join target.
 const BEAT: f64 = 0.1;
 /// A first failure keeps a server out of the pick for this many join targets; each further one doubles it.
