--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 const DOWN_FILL: f64 = 1.15;
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
-const POOLED_FILL: f64 = 0.98;
+const POOLED_FILL: f64 = 0.95;
 /// One that is never reported is filled so much less than a link.
 const DOUBT: f64 = 0.1;
 /// An uplink seen to be asked for more than this is short for all of its rack: it is brought down to this.
@@ -35,6 +35,8 @@
 /// Peers are told so often, over the time between notes, and of so many racks as a message holds.
 const TELL: f64 = 0.25;
 const MOST_TOLD: u64 = 64;
+/// And for this many times what a change of rung costs, since steps up must be paid back.
+const PAID_BACK: f64 = 3.0;
 /// Between two steps up at a server, over the time between notes.
 const UP_PACE: f64 = 0.15;
 /// Normal point of the margin on a tenant's share.
@@ -378,7 +380,8 @@
         let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
         let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
         let broken = self.bound(&held) > self.capacity(&id, DOWN_FILL);
-        let settled = now - self.servers[&id].unsettled_at >= self.note_gap() * SETTLED;
+        let settled = now - self.servers[&id].unsettled_at
+            >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
         let changed = if broken {
             let may = |ix: &usize| held[*ix].rung > self.terms.packages[held[*ix].package.0].floor;
             let top = (0..held.len()).filter(playing).filter(may);
