--- a/drill/src/conf.rs
+++ b/drill/src/conf.rs
@@ -73,7 +73,6 @@
             })
             .collect(),
         ladder_kb: numbers(&extra["rates-kb"]),
-        worth: numbers(&extra["worth-by-rung"]),
         cells: whole(&extra["places"], 0),
         racks: whole(&extra["racks"], 0),
         link_unit_kb: number(&extra["link-unit-kb"]),
@@ -82,14 +81,12 @@
         places: kinds.zip(numbers(&extra["places-by-kind"])).collect(),
         seen_after: span(&extra["seen-after-ns"]),
         reports_every: span(&extra["reports-every-ns"]),
-        stall_cost: number(&extra["stall-cost"]),
         change_cost: Ms(number(&extra["change-costs-s"]) * 1e3),
         max_tune_ins: whole(&allowed["max-attempts"], 1) as usize,
         max_stay_away: (allowed["retry-after"] == true).then(|| span(&allowed["max-retry-after-ns"])),
         peer_messages: allowed["peer-messages"] == true,
         must_subscribe: text(&conf["registry-mode"]) == "on_request",
         cross_price: number(&conf["prices"]["cross-zone"]),
-        move_price: number(&conf["prices"]["moves"]),
         cold: ColdPace {
             lasts: span(&safety["cold-ns"]),
             start_capacity: number(&safety["start-capacity"]),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,8 +26,6 @@
 const DOUBT: f64 = 0.1;
 /// An uplink seen to be asked for more than this is short for all of its rack: it is brought down to this.
 const SHORT: f64 = 1.04;
-/// How long a server must have been settled before a step up, over the time between reports.
-const SETTLED: f64 = 0.5;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
 /// So many of the servers held in a rack must show it before short delivery is laid to the uplink.
@@ -35,13 +33,15 @@
 /// Peers are told so often, over the time between notes, and of so many racks as a message holds.
 const TELL: f64 = 0.25;
 const MOST_TOLD: u64 = 64;
-/// And for this many times what a change of rung costs, since steps up must be paid back.
+/// A server must have been settled before a step up for this part of the time between notes, and for this
+/// many times what a change of rung costs, since steps up must be paid back.
+const SETTLED: f64 = 0.5;
 const PAID_BACK: f64 = 3.0;
 /// Between two steps up at a server, over the time between notes.
 const UP_PACE: f64 = 0.15;
 /// Normal point of the margin on a tenant's share.
 const SHARE_PHI: f64 = 2.0;
-/// A note older than this many report times counts no more.
+/// A note older than this many note times counts no more.
 const STALE: f64 = 2.5;
 /// What is known of an uplink that is never reported fades in about this many.
 const TRUST: f64 = 3.0;
@@ -461,8 +461,8 @@
         self.amend(&vw, |it| (it.phase, it.tune_ins) = (phase, tune_ins));
     }
 
-    /// True for an arrival past its tenant's share: this manager's equal part of it, with a root margin, since
-    /// tenants lean. Only what is within is counted, so that a crowd still gets the share itself.
+    /// True for an arrival past its tenant's share: this manager's equal part of it, with a root margin,
+    /// since tenants lean. Only what is within is counted, so that a crowd still gets the share itself.
     fn over_share(&mut self, tenant: TenantIx) -> bool {
         let fade = self.terms.cold.lasts.max(Ms(1e3));
         let allowed = self.terms.tenants[tenant.0].allowance_per_s * (fade / Ms(1e3));
@@ -533,7 +533,8 @@
             _ => never_ran(viewing),
         };
         if harmless && self.now < viewing.wish.due {
-            out.shed(vw, None);
+            // By the next note there may be room again.
+            out.shed(vw, self.terms.max_stay_away.map(|most| most.min(self.note_gap())));
         } else {
             out.abort(vw);
         }
@@ -616,7 +617,8 @@
     }
 
     /// Rule 4: this manager's part of what a cold server takes in any window. Where the part is under one,
-    /// managers take turns by the clock, another at each cell, in turns so long that no window touches too many.
+    /// managers take turns by the clock, another at each cell, in turns so long that no window touches too
+    /// many.
     fn pace_allows(&self, server: &Server) -> bool {
         let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
         let sure = server.failures == 0 && (server.proven || self.now >= self.unsure_until);
@@ -699,15 +701,16 @@
         counts.iter().map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
     }
 
-    /// Who goes down first is greatest: the top rung, and there the one over its tenant's share, then the lower
-    /// value, then the one least below its request.
+    /// Who goes down first is greatest: the top rung, and there the one over its tenant's share, then the
+    /// lower value, then the one least below its request.
     fn goes_down(&self, a: &Asker, b: &Asker) -> Ordering {
         let value = |it: &Asker| self.terms.packages[it.package.0].value;
         let top = a.rung.cmp(&b.rung).then(a.over_share.cmp(&b.over_share));
         top.then(value(b).total_cmp(&value(a))).then(below(b).cmp(&below(a)))
     }
 
-    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, of value.
+    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, of
+    /// value.
     fn goes_up(&self, a: &Asker, b: &Asker) -> Ordering {
         let value = |it: &Asker| self.terms.packages[it.package.0].value;
         let low = below(a).cmp(&below(b)).then(b.over_share.cmp(&a.over_share));
@@ -797,8 +800,9 @@
         }
     }
 
-    /// A manager's part of what is free: an equal one, or nearly all where the others use nearly nothing, as when
-    /// a zone is lost with its managers. Squared, so that uneven managers don't all claim more than an equal part.
+    /// A manager's part of what is free: an equal one, or nearly all where the others use nearly nothing, as
+    /// when a zone is lost with its managers. Squared, so that uneven managers don't all claim more than an
+    /// equal part.
     fn part(&self, own_kb: f64, total: f64) -> f64 {
         let equal = 1.0 / self.terms.managers.max(1.0);
         if total > 0.0 {
@@ -820,8 +824,9 @@
         self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
     }
 
-    /// The last note on an uplink. Where none are sent: what the managers count there, each as it last told or
-    /// else as much as this one, times what short delivery showed to be missing from that count. One that told before and stopped is lost.
+    /// The last note on an uplink. Where none are sent: what the managers count there, each as it last told
+    /// or else as much as this one, times what short delivery showed to be missing from that count. One that
+    /// told before and stopped is lost.
     fn uplink_seen(&self, rack: Rack) -> Seen {
         let own_kb = self.own_in(rack);
         let told = self.peers.values().filter(|it| self.now - it.at < self.note_gap() * STALE);
@@ -909,8 +914,8 @@
         }
     }
 
-    /// Short delivery at one server is its link's; at several of a rack it is the uplink's, which gives no less
-    /// than the best of them gets.
+    /// Short delivery at one server is its link's; at several of a rack it is the uplink's, which gives no
+    /// less than the best of them gets.
     fn note_delivered(&mut self, server: &ServerId, share: f64, at: Ms) {
         let (now, asked) = (self.now, 1.0 / share.max(0.05));
         let Some(it) = self.servers.get_mut(server) else {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -17,8 +17,8 @@
     fn step_to(&mut self, vw: &ViewingId, rung: Rung) {
         self.0.push(format!("{vw} to {}", rung.0));
     }
-    fn shed(&mut self, _: &ViewingId, _: Option<Ms>) {
-        self.0.push("shed".into());
+    fn shed(&mut self, _: &ViewingId, stay_away: Option<Ms>) {
+        self.0.push(stay_away.map_or("shed".into(), |span| format!("shed {}", span.0)));
     }
     fn abort(&mut self, _: &ViewingId) {
         self.0.push("abort".into());
@@ -59,7 +59,6 @@
         packages: vec![package(1.0), package(3.0)],
         tenants: vec![Tenant { name: "t".into(), allowance_per_s: 1.0 }],
         ladder_kb: vec![1.0, 2.0, 4.0, 8.0],
-        worth: vec![0.2, 0.5, 0.8, 1.0],
         cells: 10,
         racks: 2,
         link_unit_kb: 100.0,
@@ -68,14 +67,12 @@
         places: [(Kind::from("k"), 48.0)].into(),
         seen_after: Ms(1000.0),
         reports_every: Ms(2000.0),
-        stall_cost: 5.0,
         change_cost: Ms(500.0),
         max_tune_ins: 3,
         max_stay_away: None,
         peer_messages: false,
         must_subscribe: false,
         cross_price: 0.0,
-        move_price: 0.1,
         cold: ColdPace {
             lasts: Ms(10_000.0),
             start_capacity: 0.5,
@@ -391,6 +388,16 @@
     assert_eq!(it.time_out(&viewing, others), Ms(expected));
 }
 
+#[test_case(5000.0, "shed 2000"; "until the next note")]
+#[test_case(500.0, "shed 500"; "no longer than viewers respect")]
+fn blocked_viewers_are_told_when_to_come_back(most: f64, expected: &str) {
+    let mut it = brain(Terms { max_stay_away: Some(Ms(most)), ..terms() }, 0);
+    add(&mut it, "a", Phase::Waiting, 0, vec![]);
+    let mut said = Said::default();
+    it.finish(&"a".into(), &mut said);
+    assert_eq!(said.0, [expected]);
+}
+
 #[test_case(0, 0.0, &["shed"]; "no holder at all")]
 #[test_case(1, 500.0, &[]; "held while a holder is shunned")]
 #[test_case(1, 1000.0, &["shed"]; "blocked once the join target is gone")]
