--- a/drill/src/conf.rs
+++ b/drill/src/conf.rs
@@ -84,7 +84,6 @@
         change_cost: Ms(number(&extra["change-costs-s"]) * 1e3),
         max_tune_ins: whole(&allowed["max-attempts"], 1) as usize,
         max_stay_away: (allowed["retry-after"] == true).then(|| span(&allowed["max-retry-after-ns"])),
-        peer_messages: allowed["peer-messages"] == true,
         must_subscribe: text(&conf["registry-mode"]) == "on_request",
         cross_price: number(&conf["prices"]["cross-zone"]),
         cold: ColdPace {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -380,10 +380,10 @@
                 brain.echo(now, &server, ending, load, out);
             }
             "DATAGRAM" => {
-                let author = ManagerIx(values.number("author")?);
-                let payload = bytes(values.text("payload")?)?;
+                // The managers of this module tell each other nothing; a message is only checked.
+                values.number::<u64>("author")?;
+                bytes(values.text("payload")?)?;
                 values.end()?;
-                brain.datagram(now, author, &payload, out);
             }
             _ => {}
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,9 +4,9 @@
 //! src/terms.rs. docs/design.md says where each rule comes from, docs/on-call.md what is seen in trouble.
 
 use crate::answers::Answers;
-use crate::ids::{BellTag, ManagerIx, PackageIx, Rack, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
+use crate::ids::{BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
 use crate::state::{
-    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Told, Topic, TuneIn, Viewing, Wish,
+    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Topic, TuneIn, Uplink, Viewing, Wish,
 };
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
@@ -19,20 +19,12 @@
 /// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
 const FILL: f64 = 0.92;
 const DOWN_FILL: f64 = 1.15;
+const EASED: f64 = 1.0;
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.95;
-/// One that is never reported is filled so much less than a link.
-const DOUBT: f64 = 0.1;
-/// An uplink seen to be asked for more than this is short for all of its rack: it is brought down to this.
-const SHORT: f64 = 1.04;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
-/// So many of the servers held in a rack must show it before short delivery is laid to the uplink.
-const MOST: f64 = 0.6;
-/// Peers are told so often, over the time between notes, and of so many racks as a message holds.
-const TELL: f64 = 0.25;
-const MOST_TOLD: u64 = 64;
 /// A server must have been settled before a step up for this part of the time between notes, and for this
 /// many times what a change of rung costs, since steps up must be paid back.
 const SETTLED: f64 = 0.5;
@@ -59,20 +51,18 @@
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
 /// Each is a condition and an effect; it tells whether it fired.
-const RULES: [Rule; 7] = [
-    Brain::end_overdue,
-    Brain::give_up,
-    Brain::tune_in,
-    Brain::hold,
-    Brain::step,
-    Brain::tell_peers,
-    Brain::keep_awake,
-];
+const RULES: [Rule; 6] =
+    [Brain::end_overdue, Brain::give_up, Brain::tune_in, Brain::hold, Brain::step, Brain::keep_awake];
 
 /// A multiply-with-carry generator.
 struct Chance(u64);
 
 impl Chance {
+    /// From just above 0 to 1.
+    fn part(&mut self) -> f64 {
+        (self.below(1 << 24) + 1) as f64 / f64::from(1 << 24)
+    }
+
     fn below(&mut self, limit: usize) -> usize {
         self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
         (((self.0 & 0xffff_ffff) * limit as u64) >> 32) as usize
@@ -95,11 +85,12 @@
     /// Until then any server may be cold: the list at start may be old.
     unsure_until: Ms,
     servers: BTreeMap<ServerId, Server>,
-    uplinks: BTreeMap<Rack, Seen>,
-    /// Of an uplink that is not reported: what is asked over what is counted, less one, and when it was seen.
-    missing: BTreeMap<Rack, (f64, Ms)>,
-    peers: BTreeMap<ManagerIx, Told>,
-    tell_at: Ms,
+    cells: BTreeMap<Cell, BTreeSet<ServerId>>,
+    /// Servers where this manager holds a viewing or sets one up.
+    held_at: BTreeSet<ServerId>,
+    uplinks: BTreeMap<Rack, Uplink>,
+    /// What this manager's viewings ask in all, and their number.
+    own: (f64, f64),
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
     waiting: BTreeSet<(Ms, ViewingId)>,
@@ -107,8 +98,9 @@
     taken: Vec<Ms>,
     further: Vec<Ms>,
     bell_at: Option<Ms>,
-    /// Mean part of a link that is asked, where it is known.
-    common_use: f64,
+    /// Mean parts of links and of uplinks that are asked, where they are known.
+    usual_link: f64,
+    usual_uplink: f64,
 }
 
 impl Brain {
@@ -121,17 +113,18 @@
             chance: Chance(seed | 1),
             unsure_until: now + terms.cold.lasts,
             servers: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            held_at: BTreeSet::new(),
             uplinks: BTreeMap::new(),
-            missing: BTreeMap::new(),
-            peers: BTreeMap::new(),
-            tell_at: now,
+            own: (0.0, 0.0),
             viewings: BTreeMap::new(),
             waiting: BTreeSet::new(),
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
             taken: Vec::new(),
             further: Vec::new(),
             bell_at: None,
-            common_use: 0.5,
+            usual_link: FILL,
+            usual_uplink: FILL,
             terms,
         }
     }
@@ -158,30 +151,16 @@
             _ => {}
         }
         for entry in entries {
-            let cold_until = entry.started.map_or(Ms::LONG_AGO, |start| start + self.terms.cold.lasts);
-            match self.servers.get_mut(&entry.server) {
-                Some(server) => {
-                    if server.entry.started < entry.started {
-                        server.cold_until = server.cold_until.max(cold_until);
-                        server.shunned_until = Ms::LONG_AGO;
-                        server.seen = None;
-                    }
-                    server.entry = entry.clone();
-                }
-                None => {
-                    self.servers.insert(entry.server.clone(), Server::new(entry.clone(), cold_until));
-                }
-            }
+            self.list(entry);
         }
         self.settle(out);
     }
 
     pub fn preexisting(&mut self, now: Ms, wish: Wish, server: ServerId, out: &mut dyn Answers) {
         self.now = now;
+        // A manager that takes viewings over did not restart: what it was told of starts is whole.
+        self.unsure_until = now;
         let tune_in = TuneIn { server, sent: now, outcome: None };
-        if let Some(server) = self.servers.get_mut(&tune_in.server) {
-            server.proven = true;
-        }
         self.take(wish, Phase::Playing, vec![tune_in]);
         self.settle(out);
     }
@@ -254,6 +233,9 @@
         // At set-up a note tells of now, else of some time ago.
         let fresh = self.viewings.get(vw).is_none_or(|it| it.phase != Phase::Playing || it.started == now);
         let at = if fresh { now } else { now - self.terms.seen_after };
+        if topic != Topic::RungInForce {
+            self.draw_lot(server, at);
+        }
         match topic {
             Topic::RungInForce => {
                 self.amend(vw, |it| it.rung = Rung(value.max(0.0) as usize));
@@ -261,7 +243,7 @@
             Topic::ShareDelivered => self.note_delivered(server, value, at),
             Topic::LinkAsked => {
                 if let Some(server) = self.servers.get_mut(server) {
-                    server.link_note = value;
+                    server.link_note = (value, at);
                 }
                 self.note_link(server, value, at);
             }
@@ -283,15 +265,6 @@
         self.settle(out);
     }
 
-    /// A peer tells what it asks of each rack's uplink, four bytes a rack.
-    pub fn datagram(&mut self, now: Ms, from: ManagerIx, payload: &[u8], out: &mut dyn Answers) {
-        self.now = now;
-        let kb =
-            payload.chunks_exact(4).map(|it| f64::from(u32::from_be_bytes([it[0], it[1], it[2], it[3]])));
-        self.peers.insert(from, Told { kb: kb.collect(), at: now });
-        self.settle(out);
-    }
-
     fn settle(&mut self, out: &mut dyn Answers) {
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
@@ -370,32 +343,41 @@
     }
 
     /// Each server is weighed once a beat. While the bound is broken, its top-rung viewing steps down; once a
-    /// whole step fits for a settled spell, the one furthest below its request steps up.
+    /// step fits for a settled spell, the one furthest below its request steps up. A step of which only a part
+    /// is this manager's is made with that chance: one lot is drawn for each note, so that all managers
+    /// together change by what the note asks.
     fn step(&mut self, out: &mut dyn Answers) -> bool {
-        let due = |it: &(&ServerId, &Server)| it.1.look_at <= self.now && !it.1.held.is_empty();
-        let Some(id) = self.servers.iter().find(due).map(|it| it.0.clone()) else {
+        let due = |id: &&ServerId| self.servers.get(*id).is_some_and(|it| it.look_at <= self.now);
+        let Some(id) = self.held_at.iter().find(due).cloned() else {
             return false;
         };
         let (now, next) = (self.now, self.now + self.beat());
         let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
         let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
-        let broken = self.bound(&held) > self.capacity(&id, DOWN_FILL);
+        let (lot, asks) = (self.servers[&id].lot, self.bound(&held));
+        let broken = asks > self.capacity(&id, DOWN_FILL);
         let settled = now - self.servers[&id].unsettled_at
             >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
+        let mut after = held.clone();
         let changed = if broken {
             let may = |ix: &usize| held[*ix].rung > self.terms.packages[held[*ix].package.0].floor;
             let top = (0..held.len()).filter(playing).filter(may);
             let top = top.max_by(|a, b| self.goes_down(&held[*a], &held[*b]));
-            top.map(|ix| (ix, held[ix].rung.0 - 1))
+            let short = asks - self.capacity(&id, EASED);
+            let part = |ix: &usize| {
+                after[*ix].rung.0 -= 1;
+                short >= lot * (asks - self.bound(&after))
+            };
+            top.filter(part).map(|ix| (ix, held[ix].rung.0 - 1))
         } else if settled {
             let low = (0..held.len()).filter(playing).filter(|ix| held[*ix].rung < held[*ix].best);
             let low = low.max_by(|a, b| self.goes_up(&held[*a], &held[*b]));
-            let fits = |ix: &usize| {
-                let mut after = held.clone();
+            let room = self.capacity(&id, UP_FILL) - asks;
+            let part = |ix: &usize| {
                 after[*ix].rung.0 += 1;
-                self.bound(&after) <= self.capacity(&id, UP_FILL)
+                room > 0.0 && room >= lot * (self.bound(&after) - asks)
             };
-            low.filter(fits).map(|ix| (ix, held[ix].rung.0 + 1))
+            low.filter(part).map(|ix| (ix, held[ix].rung.0 + 1))
         } else {
             None
         };
@@ -413,18 +395,6 @@
         true
     }
 
-    /// Where uplinks are not reported, the managers tell each other what they ask of them.
-    fn tell_peers(&mut self, out: &mut dyn Answers) -> bool {
-        let useful = self.terms.peer_messages && !self.terms.uplinks_reported && self.terms.managers > 1.0;
-        if !useful || self.now < self.tell_at {
-            return false;
-        }
-        let kb = (0..self.terms.racks.min(MOST_TOLD)).map(|rack| self.own_in(Rack(rack)) as u32);
-        out.publish(None, &kb.flat_map(u32::to_be_bytes).collect::<Vec<u8>>());
-        self.tell_at = self.now + self.note_gap() * TELL;
-        true
-    }
-
     fn keep_awake(&mut self, out: &mut dyn Answers) -> bool {
         if self.viewings.is_empty() || self.bell_at.is_some_and(|at| self.now < at) {
             return false;
@@ -441,6 +411,25 @@
         &self.terms.packages[viewing.wish.package.0]
     }
 
+    fn list(&mut self, entry: &Entry) {
+        let cold_until = entry.started.map_or(Ms::LONG_AGO, |start| start + self.terms.cold.lasts);
+        let server = self.servers.entry(entry.server.clone());
+        let server = server.or_insert_with(|| Server::new(entry.clone(), cold_until));
+        if server.entry.started < entry.started {
+            server.cold_until = server.cold_until.max(cold_until);
+            server.shunned_until = Ms::LONG_AGO;
+            server.seen = None;
+        }
+        server.entry = entry.clone();
+        let rack = self.rack(&self.servers[&entry.server]);
+        self.cells.entry(self.cell(entry.cell.0)).or_default().insert(entry.server.clone());
+        self.uplinks.entry(rack).or_default().servers.insert(entry.server.clone());
+    }
+
+    fn cell(&self, number: u64) -> Cell {
+        Cell(number % self.terms.cells.max(1))
+    }
+
     fn take(&mut self, wish: Wish, phase: Phase, tune_ins: Vec<TuneIn>) {
         let rung = self.terms.packages[wish.package.0].floor;
         let asked = wish.tenant.filter(|_| phase == Phase::Waiting);
@@ -492,20 +481,27 @@
     }
 
     fn count(&mut self, viewing: &Viewing, sign: f64) {
-        let package = viewing.wish.package;
-        let rate = self.rate(package, viewing.rung) * sign;
+        let rate = self.rate(viewing.wish.package, viewing.rung) * sign;
         let (now, keep) = (self.now, self.terms.seen_after * 2.0);
-        if let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) {
-            if sign > 0.0 {
-                server.held.insert(viewing.wish.vw.clone());
-            } else {
-                server.held.remove(&viewing.wish.vw);
-            }
-            *server.counts.entry(package).or_default() += sign;
-            server.own_kb = if server.held.is_empty() { 0.0 } else { server.own_kb + rate };
-            server.ledger.retain(|it| now - it.0 <= keep);
-            server.ledger.push((now, rate));
+        let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) else {
+            return;
+        };
+        if sign > 0.0 {
+            server.held.insert(viewing.wish.vw.clone());
+            self.held_at.insert(server.entry.server.clone());
+        } else {
+            server.held.remove(&viewing.wish.vw);
         }
+        if server.held.is_empty() {
+            self.held_at.remove(&server.entry.server);
+        }
+        server.own = added(server.own, (rate, sign));
+        server.ledger.retain(|it| now - it.0 <= keep);
+        server.ledger.push((now, (rate, sign)));
+        let rack = Rack(server.entry.cell.0 % self.terms.racks.max(1));
+        let uplink = self.uplinks.entry(rack).or_default();
+        uplink.own = added(uplink.own, (rate, sign));
+        self.own = added(self.own, (rate, sign));
     }
 
     fn waiting_now(&self) -> Option<ViewingId> {
@@ -559,13 +555,14 @@
 
     /// A holder that is only shunned or paced may be had again soon; one without room refuses.
     fn may_hope(&self, viewing: &Viewing) -> bool {
-        let up = |it: &Server| it.entry.availability == Availability::Up && self.holds(it, &viewing.wish);
-        self.seat_free(viewing) && self.servers.iter().any(|(id, it)| up(it) && self.has_room(viewing, id))
+        self.seat_free(viewing) && self.holders(&viewing.wish).any(|it| self.has_room(viewing, it))
     }
 
-    fn holds(&self, server: &Server, wish: &Wish) -> bool {
-        let cells = self.terms.cells.max(1);
-        (server.entry.cell.0 % cells + cells - wish.base % cells) % cells < wish.copies
+    /// The servers that hold the title and are up.
+    fn holders<'a>(&'a self, wish: &'a Wish) -> impl Iterator<Item = &'a Server> + 'a {
+        let cells = (0..wish.copies.min(self.terms.cells.max(1))).map(|j| self.cell(wish.base + j));
+        let all = cells.flat_map(|cell| self.cells.get(&cell)).flatten();
+        all.map(|id| &self.servers[id]).filter(|it| it.entry.availability == Availability::Up)
     }
 
     /// Rule 5: seats, set-ups included.
@@ -582,15 +579,14 @@
         if !self.seat_free(viewing) {
             return Vec::new();
         }
-        let fits = |(id, it): &(&ServerId, &Server)| {
-            it.entry.availability == Availability::Up
-                && self.holds(it, &viewing.wish)
-                && self.now >= it.shunned_until
+        let fits = |it: &&Server| {
+            self.now >= it.shunned_until
                 && self.pace_allows(it)
                 && self.same_group(viewing, it)
-                && self.has_room(viewing, id)
+                && self.has_room(viewing, it)
         };
-        let all: Vec<ServerId> = self.servers.iter().filter(fits).map(|it| it.0.clone()).collect();
+        let all = self.holders(&viewing.wish).filter(fits).map(|it| it.entry.server.clone());
+        let all: Vec<ServerId> = all.collect();
         let fresh = |id: &&ServerId| !viewing.tune_ins.iter().any(|it| it.server == **id);
         let untried: Vec<ServerId> = all.iter().filter(fresh).cloned().collect();
         if untried.is_empty() {
@@ -621,7 +617,7 @@
     /// many.
     fn pace_allows(&self, server: &Server) -> bool {
         let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
-        let sure = server.failures == 0 && (server.proven || self.now >= self.unsure_until);
+        let sure = server.failures == 0 && self.now >= self.unsure_until;
         if cold.lasts <= Ms(0.0) || (sure && self.now >= server.cold_until) {
             return true;
         }
@@ -638,7 +634,9 @@
         let length = if all >= 2.0 { cold.fall_window * (1.0 / (all - 1.0)) } else { cold.fall_window * 2.0 };
         let turn = (self.now / length).floor();
         let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
-        let my_turn = (turn + server.entry.cell.0 as f64).rem_euclid(managers) == self.terms.me.0 as f64;
+        let id = server.entry.server.to_string();
+        let shift = id.bytes().fold(0, |sum: u64, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+        let my_turn = (turn + (shift % 65_521) as f64).rem_euclid(managers) == self.terms.me.0 as f64;
         my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
     }
 
@@ -717,17 +715,26 @@
         low.then(value(a).total_cmp(&value(b)))
     }
 
-    /// The design's split: those who go down first move a rung, one at a time, until the bound holds.
-    fn split(&self, askers: &mut [Asker], capacity: f64) {
+    /// The design's split: those who go down first move a rung, one at a time, until the bound holds. The last
+    /// one moves only if what is still over is more than the lot's part of its step.
+    fn split(&self, askers: &mut [Asker], capacity: f64, lot: f64) {
         for asker in askers.iter_mut() {
             asker.rung = asker.best;
         }
-        while self.bound(askers) > capacity {
-            let movable = askers.iter_mut().filter(|it| it.rung > self.terms.packages[it.package.0].floor);
-            match movable.max_by(|a, b| self.goes_down(a, b)) {
-                Some(asker) => asker.rung.0 -= 1,
-                None => return,
+        let mut asks = self.bound(askers);
+        while asks > capacity {
+            let movable = (0..askers.len())
+                .filter(|ix| askers[*ix].rung > self.terms.packages[askers[*ix].package.0].floor);
+            let Some(ix) = movable.max_by(|a, b| self.goes_down(&askers[*a], &askers[*b])) else {
+                return;
+            };
+            askers[ix].rung.0 -= 1;
+            let less = self.bound(askers);
+            if asks - capacity < lot * (asks - less) {
+                askers[ix].rung.0 += 1;
+                return;
             }
+            asks = less;
         }
     }
 
@@ -736,42 +743,40 @@
         let mine = self.asker(viewing);
         let mut askers: Vec<Asker> = self.askers(server).into_iter().map(|it| it.1).collect();
         askers.push(mine);
-        self.split(&mut askers, self.capacity(server, FILL));
+        let it = &self.servers[server];
+        let uplink = self.uplink_of(it);
+        let n = askers.len() as f64;
+        let link = self.claim(self.link_kb(it), self.link_seen(it), n, FILL);
+        let rack =
+            self.claim(self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own.1 + 1.0, self.pooled(FILL));
+        let capacity = link.min(rack * n / (uplink.own.1 + 1.0));
+        let lot = self.chance.part();
+        self.split(&mut askers, capacity, lot);
         let same =
             |it: &&Asker| (it.package, it.best, it.over_share) == (mine.package, mine.best, mine.over_share);
         let rungs: Vec<Rung> = askers.iter().filter(same).map(|it| it.rung).collect();
         rungs[self.chance.below(rungs.len())]
     }
 
-    /// False if even the lowest rung for all breaks the bound, at what the manager may ever claim there.
-    fn has_room(&self, viewing: &Viewing, server: &ServerId) -> bool {
-        let rack = self.rack(&self.servers[server]);
-        let lowest = |here: &dyn Fn(&ServerId, &Server) -> bool| -> f64 {
-            let all = self.terms.packages.iter().enumerate().map(|(ix, package)| {
-                let package_ix = PackageIx(ix);
-                let held = self.servers.iter().filter(|(id, it)| here(id, it));
-                let held: f64 = held.filter_map(|(_, it)| it.counts.get(&package_ix)).sum();
-                let n = if viewing.wish.package == package_ix { held + 1.0 } else { held };
-                self.rate(package_ix, package.floor) * (n + PHI * n.sqrt())
-            });
-            all.sum()
+    /// False if even the lowest rung for all who are there breaks the bound of the link or the uplink.
+    fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
+        let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
+        let fits = |told: f64, seen: Seen, own: (f64, f64)| {
+            let capacity = capacity_of(told, seen);
+            let others = (seen.asked * capacity - seen.own.0).max(0.0);
+            let n = own.1 + 1.0 + others / self.mean_kb(seen);
+            let all = if viewing.over_share {
+                // Past its share a viewing takes only what is free: none of the others steps down for it.
+                return others + own.0 + lowest <= capacity * UP_FILL;
+            } else {
+                lowest * (n + PHI * n.sqrt())
+            };
+            all <= capacity * DOWN_FILL
         };
-        let link = lowest(&|id, _| id == server);
-        let uplink = lowest(&|_, it| self.rack(it) == rack);
-        if viewing.over_share {
-            // Past its share a viewing takes only what is free: none of the others steps down for it.
-            let mut held: Vec<Asker> = self.askers(server).into_iter().map(|it| it.1).collect();
-            held.push(Asker { rung: self.package(viewing).floor, ..self.asker(viewing) });
-            if self.bound(&held) > self.capacity(server, UP_FILL) {
-                return false;
-            }
-        }
-        let told = &self.servers[server];
-        let ever = |told: f64, seen: Seen| told * self.part(seen.own_kb, seen.asked * told);
-        let link_ever = ever(self.link_kb(told), self.link_seen(told));
-        let uplink_ever = ever(self.terms.uplink_kb, self.uplink_seen(rack));
-        link <= self.link_claim(server, DOWN_FILL).max(link_ever)
-            && uplink <= self.uplink_claim(rack, DOWN_FILL).max(uplink_ever)
+        let uplink = self.uplink_of(server);
+        fits(self.link_kb(server), self.link_seen(server), server.own)
+            && (self.terms.uplink_kb <= 0.0
+                || fits(self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own))
     }
 
     fn rack(&self, server: &Server) -> Rack {
@@ -782,34 +787,23 @@
         server.entry.weight * self.terms.link_unit_kb
     }
 
-    fn own_in(&self, rack: Rack) -> f64 {
-        self.servers.values().filter(|it| self.rack(it) == rack).map(|it| it.own_kb).sum()
+    fn uplink_of(&self, server: &Server) -> &Uplink {
+        &self.uplinks[&self.rack(server)]
     }
 
-    /// What this manager may use of a link: the told capacity less others' use. Free room is shared among the
-    /// managers, who all see the same note; what is missing is given up by each in proportion.
-    fn claim(&self, told: f64, seen: Seen, fill: f64) -> f64 {
-        // More of one's own than the whole that is seen: the link is larger than told, or titles run low.
-        let capacity = if seen.asked > 0.0 { told.max(seen.own_kb / seen.asked) } else { told };
-        let total = seen.asked * capacity;
-        let room = capacity * fill - total;
-        if room >= 0.0 {
-            seen.own_kb + room * self.part(seen.own_kb, total)
-        } else {
-            seen.own_kb * capacity * fill / total
-        }
+    /// Mean rate of a viewing: of this manager's there, else of all that it holds, else of the middle rung.
+    fn mean_kb(&self, seen: Seen) -> f64 {
+        let middle = self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0);
+        let (kb, n) = if seen.own.1 >= 1.0 { seen.own } else { added(self.own, (middle, 1.0)) };
+        (kb / n).max(1e-6)
     }
 
-    /// A manager's part of what is free: an equal one, or nearly all where the others use nearly nothing, as
-    /// when a zone is lost with its managers. Squared, so that uneven managers don't all claim more than an
-    /// equal part.
-    fn part(&self, own_kb: f64, total: f64) -> f64 {
-        let equal = 1.0 / self.terms.managers.max(1.0);
-        if total > 0.0 {
-            (own_kb / total).min(1.0).powi(2).max(equal)
-        } else {
-            equal
-        }
+    /// What n of this manager's viewings may ask of a link or uplink: their part of its capacity. The others
+    /// are counted by what they ask over the mean rate, whether they belong to one manager or to hundreds.
+    fn claim(&self, told: f64, seen: Seen, n: f64, fill: f64) -> f64 {
+        let capacity = capacity_of(told, seen);
+        let others = (seen.asked * capacity - seen.own.0).max(0.0) / self.mean_kb(seen);
+        capacity * fill * n / (n + others).max(1e-6)
     }
 
     fn fresh(&self, seen: Option<Seen>) -> Option<Seen> {
@@ -818,80 +812,74 @@
 
     /// The last note on a link; without one, the other managers' part is as elsewhere.
     fn link_seen(&self, server: &Server) -> Seen {
-        let own_kb = server.own_kb;
-        let others = self.common_use * (1.0 - 1.0 / self.terms.managers.max(1.0));
-        let asked = others + own_kb / self.link_kb(server).max(1.0);
-        self.fresh(server.seen).unwrap_or(Seen { asked, own_kb, at: self.now })
-    }
-
-    /// The last note on an uplink. Where none are sent: what the managers count there, each as it last told
-    /// or else as much as this one, times what short delivery showed to be missing from that count. One that
-    /// told before and stopped is lost.
-    fn uplink_seen(&self, rack: Rack) -> Seen {
-        let own_kb = self.own_in(rack);
-        let told = self.peers.values().filter(|it| self.now - it.at < self.note_gap() * STALE);
-        let told: Vec<f64> = told.map(|it| it.kb.get(rack.0 as usize).copied().unwrap_or(0.0)).collect();
-        let silent = (self.terms.managers - 1.0 - self.peers.len() as f64).max(0.0);
-        let counted = (own_kb * (1.0 + silent) + told.iter().sum::<f64>()) / self.terms.uplink_kb.max(1.0);
-        let missing = self.missing.get(&rack).map_or(0.0, |it| {
-            let left = (-((self.now - it.1) / (self.note_gap() * TRUST))).exp();
-            it.0 * left
-        });
-        let guess = Seen { asked: counted * (1.0 + missing), own_kb, at: self.now };
-        self.fresh(self.uplinks.get(&rack).copied()).unwrap_or(guess)
+        self.fresh(server.seen).unwrap_or(self.usually(self.usual_link, self.link_kb(server), server.own))
     }
 
-    fn link_claim(&self, server: &ServerId, fill: f64) -> f64 {
-        let it = &self.servers[server];
-        self.claim(self.link_kb(it), self.link_seen(it), fill)
+    fn uplink_seen(&self, uplink: &Uplink) -> Seen {
+        self.fresh(uplink.seen).unwrap_or(self.usually(self.usual_uplink, self.terms.uplink_kb, uplink.own))
     }
 
-    fn uplink_claim(&self, rack: Rack, fill: f64) -> f64 {
-        if self.terms.uplink_kb <= 0.0 {
-            return f64::INFINITY;
-        }
-        let fill = if self.terms.uplinks_reported { fill.max(POOLED_FILL) } else { fill - DOUBT };
-        let seen = self.uplink_seen(rack);
-        let fill = if seen.asked > SHORT { fill.min(SHORT) } else { fill };
-        self.claim(self.terms.uplink_kb, seen, fill)
+    fn usually(&self, usual: f64, told: f64, own: (f64, f64)) -> Seen {
+        let asked = usual * (1.0 - 1.0 / self.terms.managers.max(1.0)) + own.0 / told.max(1.0);
+        Seen { asked, own, at: self.now }
+    }
+
+    /// An uplink pools the swings of many viewings and may be filled further.
+    fn pooled(&self, fill: f64) -> f64 {
+        fill.max(POOLED_FILL)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
     fn capacity(&self, server: &ServerId, fill: f64) -> f64 {
         let it = &self.servers[server];
-        let rack = self.rack(it);
-        let (claim, own) = (self.uplink_claim(rack, fill), self.own_in(rack));
-        let share = if claim >= own { it.own_kb + claim - own } else { it.own_kb * claim / own };
-        self.link_claim(server, fill).min(share)
+        let uplink = self.uplink_of(it);
+        let link = self.claim(self.link_kb(it), self.link_seen(it), it.own.1, fill);
+        if self.terms.uplink_kb <= 0.0 {
+            return link;
+        }
+        let claim =
+            self.claim(self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own.1, self.pooled(fill));
+        let own = uplink.own.0;
+        link.min(if claim >= own { it.own.0 + claim - own } else { it.own.0 * claim / own })
     }
 
     fn link_used(&self, server: &Server) -> f64 {
         let seen = self.link_seen(server);
-        seen.asked + (server.own_kb - seen.own_kb) / self.link_kb(server).max(1.0)
+        seen.asked + (server.own.0 - seen.own.0) / self.link_kb(server).max(1.0)
     }
 
     /// Part of a holder's link or uplink that is asked, whichever is fuller.
     fn used(&self, server: &ServerId) -> f64 {
         let it = &self.servers[server];
-        let rack = self.rack(it);
-        let seen = self.uplink_seen(rack);
-        let uplink = seen.asked + (self.own_in(rack) - seen.own_kb) / self.terms.uplink_kb.max(1.0);
+        let uplink = self.uplink_of(it);
+        let seen = self.uplink_seen(uplink);
+        let rack = seen.asked + (uplink.own.0 - seen.own.0) / self.terms.uplink_kb.max(1.0);
         let crossing = if it.entry.zone == self.terms.zone { 0.0 } else { self.terms.cross_price };
-        self.link_used(it).max(uplink) + crossing * CROSS_HANDICAP
+        self.link_used(it).max(rack) + crossing * CROSS_HANDICAP
     }
 
     // What is told of links and uplinks.
 
+    /// A lot decides what is made of a note; one that tells of a time before the last lot shows nothing yet of
+    /// what all managers made of that.
+    fn draw_lot(&mut self, server: &ServerId, at: Ms) {
+        let lot = self.chance.part();
+        if let Some(it) = self.servers.get_mut(server).filter(|it| it.lot_at <= at) {
+            (it.lot, it.lot_at) = (lot, self.now);
+        }
+    }
+
     fn note_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
-        if let Some(server) = self.servers.get_mut(server) {
-            if server.seen.is_none_or(|it| it.at <= at) {
-                server.seen = Some(Seen { asked, own_kb: server.own_at(at), at });
-            }
+        let Some(it) = self.servers.get_mut(server) else {
+            return;
+        };
+        if it.seen.is_none_or(|it| it.at <= at) {
+            it.seen = Some(Seen { asked, own: it.own_at(at), at });
         }
-        let known: Vec<f64> =
-            self.servers.values().filter_map(|it| self.fresh(it.seen)).map(|it| it.asked).collect();
-        if !known.is_empty() {
-            self.common_use = (known.iter().sum::<f64>() / known.len() as f64).min(FILL);
+        let known = self.held_at.iter().filter_map(|id| self.fresh(self.servers[id].seen));
+        self.usual_link = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
+        if !self.terms.uplinks_reported {
+            self.count_uplink(server);
         }
     }
 
@@ -899,51 +887,58 @@
         let Some(rack) = self.servers.get(server).map(|it| self.rack(it)) else {
             return;
         };
-        let there = self.servers.values().filter(|it| self.rack(it) == rack);
-        let own_kb: f64 = there.map(|it| it.own_at(at)).sum();
-        if !self.terms.uplinks_reported {
-            let before = self.missing.remove(&rack).map_or(f64::MAX, |it| it.0);
-            // What was counted then; the others are taken to have changed as this one has since.
-            let counted = self.uplink_seen(rack).asked * (own_kb / self.own_in(rack).max(1.0)).max(1.0);
-            let missing = (asked / counted.max(1e-6) - 1.0).max(0.0);
-            self.missing.insert(rack, (if asked > 1.0 { missing } else { missing.min(before) }, self.now));
-            return;
-        }
-        if self.uplinks.get(&rack).is_none_or(|it| it.at <= at) {
-            self.uplinks.insert(rack, Seen { asked, own_kb, at });
+        let there = self.uplinks[&rack].servers.iter().map(|id| self.servers[id].own_at(at));
+        let own = there.fold((0.0, 0.0), added);
+        if let Some(uplink) = self.uplinks.get_mut(&rack).filter(|it| it.seen.is_none_or(|it| it.at <= at)) {
+            uplink.seen = Some(Seen { asked, own, at });
         }
+        let known = self.held_at.iter().filter_map(|id| self.fresh(self.uplink_of(&self.servers[id]).seen));
+        self.usual_uplink = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
     }
 
-    /// Short delivery at one server is its link's; at several of a rack it is the uplink's, which gives no
-    /// less than the best of them gets.
+    /// What an uplink that is not reported is asked for by the links of its rack, times what short delivery
+    /// showed to be missing from that.
+    fn count_uplink(&mut self, server: &ServerId) {
+        let Some(rack) = self.servers.get(server).map(|it| self.rack(it)) else {
+            return;
+        };
+        let uplink = &self.uplinks[&rack];
+        let up = uplink
+            .servers
+            .iter()
+            .map(|id| &self.servers[id])
+            .filter(|it| it.entry.availability == Availability::Up);
+        let asked: f64 = up.map(|it| self.link_used(it) * self.link_kb(it)).sum();
+        let left = (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp();
+        let counted = asked / self.terms.uplink_kb.max(1.0);
+        self.note_uplink(server, counted * (1.0 + uplink.missing.0 * left), self.now);
+        if let Some(uplink) = self.uplinks.get_mut(&rack) {
+            uplink.counted = counted;
+        }
+    }
+
+    /// Short delivery is the link's, unless a note on the link that is no older than the shortage does not
+    /// explain it: then it is the uplink's.
     fn note_delivered(&mut self, server: &ServerId, share: f64, at: Ms) {
-        let (now, asked) = (self.now, 1.0 / share.max(0.05));
         let Some(it) = self.servers.get_mut(server) else {
             return;
         };
-        it.delivered = (share, at);
-        let rack = self.rack(&self.servers[server]);
         if share >= 0.98 {
-            if self.missing.contains_key(&rack) {
-                self.note_uplink(server, 1.0, at);
-            }
+            it.short_since = None;
             return;
         }
-        let short = |it: &&Server| {
-            let unexplained = it.link_note * it.delivered.0 < EXPLAINED;
-            now - it.delivered.1 < self.terms.seen_after * 3.0 && it.delivered.0 < 0.98 && unexplained
-        };
-        let there = self.servers.values().filter(|it| self.rack(it) == rack && !it.held.is_empty());
-        let there: Vec<&Server> = there.collect();
-        let most = (there.len() as f64 * MOST).max(2.0);
-        let short: Vec<f64> = there.into_iter().filter(short).map(|it| it.delivered.0).collect();
-        let best = short.iter().fold(0.0, |best: f64, share| best.max(*share));
-        let common = short.len() as f64 >= most;
-        if common {
-            self.note_uplink(server, 1.0 / best, at);
-        }
-        if share < best * 0.95 || !common {
+        let since = *it.short_since.get_or_insert(at);
+        let asked = 1.0 / share.max(0.05);
+        if it.link_note.1 < since || it.link_note.0 >= EXPLAINED * asked {
             self.note_link(server, asked, at);
+        } else if self.terms.uplinks_reported {
+            self.note_uplink(server, asked, at);
+        } else {
+            let rack = self.rack(&self.servers[server]);
+            if let Some(uplink) = self.uplinks.get_mut(&rack) {
+                uplink.missing = ((asked / uplink.counted.max(1e-6) - 1.0).max(0.0), self.now);
+            }
+            self.count_uplink(server);
         }
     }
 
@@ -953,7 +948,7 @@
         let Some(it) = self.servers.get(server) else {
             return;
         };
-        let uplink_old = old(self.uplinks.get(&self.rack(it)).copied());
+        let uplink_old = old(self.uplink_of(it).seen);
         if let Some(asked) = load.link_uncapped.or(load.link).filter(|_| old(it.seen)) {
             self.note_link(server, asked, self.now - self.terms.seen_after);
         }
@@ -963,6 +958,29 @@
     }
 }
 
+fn added(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
+    // Nothing held asks nothing, whatever fractions are left over.
+    if a.1 + b.1 < 0.5 {
+        (0.0, 0.0)
+    } else {
+        (a.0 + b.0, a.1 + b.1)
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, n) = values.fold((0.0, 0.0), |(sum, n), it| (sum + it, n + 1.0));
+    (n > 0.0).then_some(sum / n)
+}
+
+/// More of one's own than the whole that is seen: the link is larger than told, or titles run low.
+fn capacity_of(told: f64, seen: Seen) -> f64 {
+    if seen.asked > 0.0 {
+        told.max(seen.own.0 / seen.asked)
+    } else {
+        told
+    }
+}
+
 fn never_ran(viewing: &Viewing) -> bool {
     !viewing.tune_ins.iter().any(may_have_run)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::{Cell, Kind, PackageIx, Rung, ServerId, TenantIx, TitleId, ViewingId, Zone};
 use crate::time::Ms;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -103,46 +103,53 @@
     pub look_at: Ms,
 }
 
-/// A note on what is asked of a link or an uplink, with the manager's own part at that time.
+/// What this manager's viewings ask in kB a second, and their number.
+pub type Own = (f64, f64);
+
+/// What is asked of a link or an uplink over what it gives, with the manager's own part at that time.
 #[derive(Clone, Copy, Debug)]
 pub struct Seen {
     pub asked: f64,
-    pub own_kb: f64,
+    pub own: Own,
     pub at: Ms,
 }
 
-/// What a peer last said that it asks of each rack's uplink.
-#[derive(Clone, Debug)]
-pub struct Told {
-    pub kb: Vec<f64>,
-    pub at: Ms,
+/// The uplink of a rack.
+#[derive(Clone, Debug, Default)]
+pub struct Uplink {
+    pub servers: BTreeSet<ServerId>,
+    pub own: Own,
+    pub seen: Option<Seen>,
+    /// Where it is not reported: what its links were last counted to ask of it, what short delivery showed to
+    /// be missing from that, as a part of it, and when.
+    pub counted: f64,
+    pub missing: (f64, Ms),
 }
 
 #[derive(Clone, Debug)]
 pub struct Server {
     pub entry: Entry,
     pub seen: Option<Seen>,
-    /// What the last note on the link itself said.
-    pub link_note: f64,
-    /// Share last delivered to viewings there, and when.
-    pub delivered: (f64, Ms),
-    /// Viewings that the manager has there, set-ups included, and their number by package.
+    /// The last note on the link itself, and since when delivery has been short.
+    pub link_note: (f64, Ms),
+    pub short_since: Option<Ms>,
+    /// Viewings that the manager has there, set-ups included.
     pub held: BTreeSet<ViewingId>,
-    pub counts: BTreeMap<PackageIx, f64>,
     /// What they ask by the ladder, and the changes of it, newest last.
-    pub own_kb: f64,
-    pub ledger: Vec<(Ms, f64)>,
+    pub own: Own,
+    pub ledger: Vec<(Ms, Own)>,
     /// When the manager sent set-ups there, newest last.
     pub sent: Vec<Ms>,
     pub cold_until: Ms,
-    /// A viewing handed over at the start plays there, so it has not restarted since.
-    pub proven: bool,
     /// Failures in a row, and until when they keep the server out of the pick.
     pub failures: u32,
     pub shunned_until: Ms,
     /// When its rungs are weighed again, and when one last changed or was too high.
     pub look_at: Ms,
     pub unsettled_at: Ms,
+    /// Drawn for each note, from just above 0 to 1: the part of a step that must be this manager's.
+    pub lot: f64,
+    pub lot_at: Ms,
 }
 
 impl Viewing {
@@ -161,23 +168,24 @@
         Server {
             entry,
             seen: None,
-            link_note: 0.0,
-            delivered: (1.0, Ms::LONG_AGO),
+            link_note: (0.0, Ms::LONG_AGO),
+            short_since: None,
             held: BTreeSet::new(),
-            counts: BTreeMap::new(),
-            own_kb: 0.0,
+            own: (0.0, 0.0),
             ledger: Vec::new(),
             sent: Vec::new(),
             cold_until,
-            proven: false,
             failures: 0,
             shunned_until: Ms::LONG_AGO,
             look_at: Ms::LONG_AGO,
             unsettled_at: Ms::LONG_AGO,
+            lot: 1.0,
+            lot_at: Ms::LONG_AGO,
         }
     }
 
-    pub fn own_at(&self, at: Ms) -> f64 {
-        self.own_kb - self.ledger.iter().filter(|it| it.0 > at).map(|it| it.1).sum::<f64>()
+    pub fn own_at(&self, at: Ms) -> Own {
+        let since = self.ledger.iter().filter(|it| it.0 > at);
+        since.fold(self.own, |(kb, n), it| (kb - it.1 .0, n - it.1 .1))
     }
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -72,7 +72,6 @@
     pub change_cost: Ms,
     pub max_tune_ins: usize,
     pub max_stay_away: Option<Ms>,
-    pub peer_messages: bool,
     pub must_subscribe: bool,
     pub cross_price: f64,
     pub cold: ColdPace,
