--- a/src/brain.rs
+++ b/src/brain.rs
@@ -373,17 +373,22 @@
             let low = (0..held.len()).filter(playing).filter(|ix| held[*ix].rung < held[*ix].best);
             let low = low.max_by(|a, b| self.goes_up(&held[*a], &held[*b]));
             let room = self.capacity(&id, UP_FILL) - asks;
+            let free = self.free_kb(&id, UP_FILL);
             let part = |ix: &usize| {
                 after[*ix].rung.0 += 1;
-                room > 0.0 && room >= lot * (self.bound(&after) - asks)
+                let step = self.bound(&after) - asks;
+                free >= step && room >= lot * step
             };
             low.filter(part).map(|ix| (ix, held[ix].rung.0 + 1))
         } else {
             None
         };
         if let Some(server) = self.servers.get_mut(&id) {
-            server.look_at =
-                if changed.is_some() && !broken { now + self.terms.reports_every * UP_PACE } else { next };
+            server.look_at = match changed {
+                Some(_) if broken => next,
+                Some(_) => now + self.terms.reports_every * UP_PACE,
+                None => Ms(f64::INFINITY),
+            };
             if broken {
                 server.unsettled_at = now;
             }
@@ -843,6 +848,19 @@
         link.min(if claim >= own { it.own.0 + claim - own } else { it.own.0 * claim / own })
     }
 
+    /// What is free of a link and its uplink in all.
+    fn free_kb(&self, server: &ServerId, fill: f64) -> f64 {
+        let it = &self.servers[server];
+        let (link, uplink) = (self.link_seen(it), self.uplink_of(it));
+        let free = capacity_of(self.link_kb(it), link) * (fill - link.asked) + link.own.0 - it.own.0;
+        if self.terms.uplink_kb <= 0.0 {
+            return free;
+        }
+        let seen = self.uplink_seen(uplink);
+        let rack = capacity_of(self.terms.uplink_kb, seen) * (self.pooled(fill) - seen.asked) + seen.own.0;
+        free.min(rack - uplink.own.0)
+    }
+
     fn link_used(&self, server: &Server) -> f64 {
         let seen = self.link_seen(server);
         seen.asked + (server.own.0 - seen.own.0) / self.link_kb(server).max(1.0)
@@ -863,9 +881,9 @@
     /// A lot decides what is made of a note; one that tells of a time before the last lot shows nothing yet of
     /// what all managers made of that.
     fn draw_lot(&mut self, server: &ServerId, at: Ms) {
-        let lot = self.chance.part();
+        let (lot, next) = (self.chance.part(), self.now + self.beat());
         if let Some(it) = self.servers.get_mut(server).filter(|it| it.lot_at <= at) {
-            (it.lot, it.lot_at) = (lot, self.now);
+            (it.lot, it.lot_at, it.look_at) = (lot, self.now, next);
         }
     }
 
