--- a/src/brain.rs
+++ b/src/brain.rs
@@ -233,8 +233,11 @@
         // At set-up a note tells of now, else of some time ago.
         let fresh = self.viewings.get(vw).is_none_or(|it| it.phase != Phase::Playing || it.started == now);
         let at = if fresh { now } else { now - self.terms.seen_after };
-        if topic != Topic::RungInForce {
-            self.draw_lot(server, at);
+        match topic {
+            Topic::RungInForce => {}
+            // The share delivered is smoothed, and shows a change that much later.
+            Topic::ShareDelivered => self.draw_lot(server, at - self.terms.seen_after),
+            Topic::LinkAsked | Topic::UplinkAsked => self.draw_lot(server, at),
         }
         match topic {
             Topic::RungInForce => {
@@ -907,8 +910,11 @@
         };
         let there = self.uplinks[&rack].servers.iter().map(|id| self.servers[id].own_at(at));
         let own = there.fold((0.0, 0.0), added);
-        if let Some(uplink) = self.uplinks.get_mut(&rack).filter(|it| it.seen.is_none_or(|it| it.at <= at)) {
-            uplink.seen = Some(Seen { asked, own, at });
+        let reported = self.terms.uplinks_reported;
+        if let Some(uplink) = self.uplinks.get_mut(&rack) {
+            if !reported || uplink.seen.is_none_or(|it| it.at <= at) {
+                uplink.seen = Some(Seen { asked, own, at });
+            }
         }
         let known = self.held_at.iter().filter_map(|id| self.fresh(self.uplink_of(&self.servers[id]).seen));
         self.usual_uplink = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
@@ -949,14 +955,14 @@
         let asked = 1.0 / share.max(0.05);
         if it.link_note.1 < since || it.link_note.0 >= EXPLAINED * asked {
             self.note_link(server, asked, at);
-        } else if self.terms.uplinks_reported {
-            self.note_uplink(server, asked, at);
         } else {
             let rack = self.rack(&self.servers[server]);
+            self.note_uplink(server, asked, at);
             if let Some(uplink) = self.uplinks.get_mut(&rack) {
-                uplink.missing = ((asked / uplink.counted.max(1e-6) - 1.0).max(0.0), self.now);
+                let own = uplink.seen.map_or(0.0, |it| it.own.0) - uplink.own.0;
+                let counted = uplink.counted + own / self.terms.uplink_kb.max(1.0);
+                uplink.missing = ((asked / counted.max(1e-6) - 1.0).max(0.0), self.now);
             }
-            self.count_uplink(server);
         }
     }
 
