--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,6 +23,8 @@
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.95;
+/// One that is never reported is filled so much less than a link.
+const DOUBT: f64 = 0.1;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
 /// A server must have been settled before a step up for this part of the time between notes, and for this
@@ -832,9 +834,14 @@
         Seen { asked, own, at: self.now }
     }
 
-    /// An uplink pools the swings of many viewings and may be filled further.
+    /// An uplink that is reported pools the swings of many viewings and may be filled further than a link; one
+    /// that is not is only counted, and is filled less.
     fn pooled(&self, fill: f64) -> f64 {
-        fill.max(POOLED_FILL)
+        if self.terms.uplinks_reported {
+            fill.max(POOLED_FILL)
+        } else {
+            fill - DOUBT
+        }
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
