--- a/src/brain.rs
+++ b/src/brain.rs
@@ -363,6 +363,8 @@
         let broken = asks > self.capacity(&id, DOWN_FILL);
         let settled = now - self.servers[&id].unsettled_at
             >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
+        // Alone at a server a manager can't see who is at the top rung there: its other viewings tell.
+        let above = asks / held.len() as f64 / (self.own.0 / self.own.1);
         let mut after = held.clone();
         let changed = if broken {
             let may = |ix: &usize| held[*ix].rung > self.terms.packages[held[*ix].package.0].floor;
@@ -371,7 +373,7 @@
             let short = asks - self.capacity(&id, EASED);
             let part = |ix: &usize| {
                 after[*ix].rung.0 -= 1;
-                short >= lot * (asks - self.bound(&after))
+                short * above >= lot * (asks - self.bound(&after))
             };
             top.filter(part).map(|ix| (ix, held[ix].rung.0 - 1))
         } else if settled {
@@ -382,7 +384,7 @@
             let part = |ix: &usize| {
                 after[*ix].rung.0 += 1;
                 let step = self.bound(&after) - asks;
-                free >= step && room >= lot * step
+                free >= step && room >= lot * step * above
             };
             low.filter(part).map(|ix| (ix, held[ix].rung.0 + 1))
         } else {
