--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.95;
 /// One that is never reported is filled so much less than a link.
-const DOUBT: f64 = 0.1;
+const DOUBT: f64 = 0.0;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
 /// A server must have been settled before a step up for this part of the time between notes, and for this
@@ -38,7 +38,7 @@
 /// A note older than this many note times counts no more.
 const STALE: f64 = 2.5;
 /// What is known of an uplink that is never reported fades in about this many.
-const TRUST: f64 = 3.0;
+const TRUST: f64 = 1.5;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
@@ -356,7 +356,11 @@
         let Some(id) = self.held_at.iter().find(due).cloned() else {
             return false;
         };
-        let (now, next) = (self.now, self.now + self.beat());
+        let (now, next, silence) = (self.now, self.now + self.beat(), self.note_gap() * STALE);
+        if now - self.servers[&id].lot_at >= silence {
+            // Notes stay out: what is usual elsewhere stands in for them, and shortage would still be told.
+            self.draw_lot(&id, now);
+        }
         let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
         let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
         let (lot, asks) = (self.servers[&id].lot, self.bound(&held));
@@ -394,7 +398,7 @@
             server.look_at = match changed {
                 Some(_) if broken => next,
                 Some(_) => now + self.terms.reports_every * UP_PACE,
-                None => Ms(f64::INFINITY),
+                None => now + silence,
             };
             if broken {
                 server.unsettled_at = now;
