--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,8 +23,8 @@
 const UP_FILL: f64 = 0.85;
 /// An uplink that is reported may be filled this far: it pools the swings of many viewings.
 const POOLED_FILL: f64 = 0.95;
-/// One that is never reported is filled so much less than a link.
-const DOUBT: f64 = 0.0;
+/// An uplink asked for more than this is brought down.
+const SHORT: f64 = 1.04;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
 const EXPLAINED: f64 = 0.92;
 /// A server must have been settled before a step up for this part of the time between notes, and for this
@@ -840,13 +840,13 @@
         Seen { asked, own, at: self.now }
     }
 
-    /// An uplink that is reported pools the swings of many viewings and may be filled further than a link; one
-    /// that is not is only counted, and is filled less.
+    /// An uplink pools the swings of many viewings: where it is reported it may be filled further than a link,
+    /// and a shortage of it is sooner more than a swing.
     fn pooled(&self, fill: f64) -> f64 {
         if self.terms.uplinks_reported {
-            fill.max(POOLED_FILL)
+            fill.clamp(POOLED_FILL, SHORT)
         } else {
-            fill - DOUBT
+            fill.min(SHORT)
         }
     }
 
@@ -966,7 +966,7 @@
         }
         let since = *it.short_since.get_or_insert(at);
         let asked = 1.0 / share.max(0.05);
-        if it.link_note.1 < since || it.link_note.0 >= EXPLAINED * asked {
+        if it.link_note.1 < since || it.link_note.0 >= EXPLAINED {
             self.note_link(server, asked, at);
         } else {
             let rack = self.rack(&self.servers[server]);
