--- a/src/brain.rs
+++ b/src/brain.rs
@@ -831,8 +831,30 @@
         self.fresh(server.seen).unwrap_or(self.usually(self.usual_link, self.link_kb(server), server.own))
     }
 
+    /// What was told of an uplink, or shown by short delivery. Only this takes from viewings that play.
+    fn uplink_known(&self, uplink: &Uplink) -> Option<Seen> {
+        let short = |it: &Seen| self.now - it.at < self.terms.seen_after * 3.0;
+        self.fresh(uplink.seen).filter(|it| self.terms.uplinks_reported || short(it))
+    }
+
+    /// Else what is usual; where none is reported, what the links of its rack ask of it, times what short
+    /// delivery lately showed to be missing from that.
     fn uplink_seen(&self, uplink: &Uplink) -> Seen {
-        self.fresh(uplink.seen).unwrap_or(self.usually(self.usual_uplink, self.terms.uplink_kb, uplink.own))
+        let guess = || {
+            if self.terms.uplinks_reported {
+                return self.usually(self.usual_uplink, self.terms.uplink_kb, uplink.own);
+            }
+            let left = (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp();
+            let asked = self.counted(uplink) * (1.0 + uplink.missing.0 * left);
+            Seen { asked, own: uplink.own, at: self.now }
+        };
+        self.uplink_known(uplink).unwrap_or_else(guess)
+    }
+
+    fn counted(&self, uplink: &Uplink) -> f64 {
+        let all = uplink.servers.iter().map(|id| &self.servers[id]);
+        let up = all.filter(|it| it.entry.availability == Availability::Up);
+        up.map(|it| self.link_used(it) * self.link_kb(it)).sum::<f64>() / self.terms.uplink_kb.max(1.0)
     }
 
     fn usually(&self, usual: f64, told: f64, own: (f64, f64)) -> Seen {
@@ -855,11 +877,11 @@
         let it = &self.servers[server];
         let uplink = self.uplink_of(it);
         let link = self.claim(self.link_kb(it), self.link_seen(it), it.own.1, fill);
-        if self.terms.uplink_kb <= 0.0 {
+        let guess = Some(self.uplink_seen(uplink)).filter(|_| fill < 1.0);
+        let Some(seen) = self.uplink_known(uplink).or(guess).filter(|_| self.terms.uplink_kb > 0.0) else {
             return link;
-        }
-        let claim =
-            self.claim(self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own.1, self.pooled(fill));
+        };
+        let claim = self.claim(self.terms.uplink_kb, seen, uplink.own.1, self.pooled(fill));
         let own = uplink.own.0;
         link.min(if claim >= own { it.own.0 + claim - own } else { it.own.0 * claim / own })
     }
@@ -912,9 +934,6 @@
         }
         let known = self.held_at.iter().filter_map(|id| self.fresh(self.servers[id].seen));
         self.usual_link = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
-        if !self.terms.uplinks_reported {
-            self.count_uplink(server);
-        }
     }
 
     fn note_uplink(&mut self, server: &ServerId, asked: f64, at: Ms) {
@@ -923,9 +942,8 @@
         };
         let there = self.uplinks[&rack].servers.iter().map(|id| self.servers[id].own_at(at));
         let own = there.fold((0.0, 0.0), added);
-        let reported = self.terms.uplinks_reported;
         if let Some(uplink) = self.uplinks.get_mut(&rack) {
-            if !reported || uplink.seen.is_none_or(|it| it.at <= at) {
+            if uplink.seen.is_none_or(|it| it.at <= at) {
                 uplink.seen = Some(Seen { asked, own, at });
             }
         }
@@ -933,27 +951,6 @@
         self.usual_uplink = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
     }
 
-    /// What an uplink that is not reported is asked for by the links of its rack, times what short delivery
-    /// showed to be missing from that.
-    fn count_uplink(&mut self, server: &ServerId) {
-        let Some(rack) = self.servers.get(server).map(|it| self.rack(it)) else {
-            return;
-        };
-        let uplink = &self.uplinks[&rack];
-        let up = uplink
-            .servers
-            .iter()
-            .map(|id| &self.servers[id])
-            .filter(|it| it.entry.availability == Availability::Up);
-        let asked: f64 = up.map(|it| self.link_used(it) * self.link_kb(it)).sum();
-        let left = (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp();
-        let counted = asked / self.terms.uplink_kb.max(1.0);
-        self.note_uplink(server, counted * (1.0 + uplink.missing.0 * left), self.now);
-        if let Some(uplink) = self.uplinks.get_mut(&rack) {
-            uplink.counted = counted;
-        }
-    }
-
     /// Short delivery is the link's, unless a note on the link that is no older than the shortage does not
     /// explain it: then it is the uplink's.
     fn note_delivered(&mut self, server: &ServerId, share: f64, at: Ms) {
@@ -971,10 +968,9 @@
         } else {
             let rack = self.rack(&self.servers[server]);
             self.note_uplink(server, asked, at);
+            let missing = asked / self.counted(&self.uplinks[&rack]).max(1e-6) - 1.0;
             if let Some(uplink) = self.uplinks.get_mut(&rack) {
-                let own = uplink.seen.map_or(0.0, |it| it.own.0) - uplink.own.0;
-                let counted = uplink.counted + own / self.terms.uplink_kb.max(1.0);
-                uplink.missing = ((asked / counted.max(1e-6) - 1.0).max(0.0), self.now);
+                uplink.missing = (missing.max(0.0), self.now);
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,9 +120,8 @@
     pub servers: BTreeSet<ServerId>,
     pub own: Own,
     pub seen: Option<Seen>,
-    /// Where it is not reported: what its links were last counted to ask of it, what short delivery showed to
-    /// be missing from that, as a part of it, and when.
-    pub counted: f64,
+    /// Where it is not reported: what short delivery showed to be missing from what its links ask of it, as a
+    /// part of that, and when.
     pub missing: (f64, Ms),
 }
 
