--- a/src/brain.rs
+++ b/src/brain.rs
@@ -356,7 +356,8 @@
         let Some(id) = self.held_at.iter().find(due).cloned() else {
             return false;
         };
-        let (now, next, silence) = (self.now, self.now + self.beat(), self.note_gap() * STALE);
+        let (now, next, silence) =
+            (self.now, self.now + self.beat(), self.note_gap().max(self.beat()) * STALE);
         if now - self.servers[&id].lot_at >= silence {
             // Notes stay out: what is usual elsewhere stands in for them, and shortage would still be told.
             self.draw_lot(&id, now);
@@ -437,8 +438,11 @@
             server.seen = None;
         }
         server.entry = entry.clone();
-        let rack = self.rack(&self.servers[&entry.server]);
-        self.cells.entry(self.cell(entry.cell.0)).or_default().insert(entry.server.clone());
+        let (cell, rack) = (self.cell(entry.cell.0), self.rack(&self.servers[&entry.server]));
+        self.cells.iter_mut().filter(|it| *it.0 != cell).for_each(|it| _ = it.1.remove(&entry.server));
+        self.cells.entry(cell).or_default().insert(entry.server.clone());
+        let others = self.uplinks.iter_mut().filter(|it| *it.0 != rack);
+        others.for_each(|it| _ = it.1.servers.remove(&entry.server));
         self.uplinks.entry(rack).or_default().servers.insert(entry.server.clone());
     }
 
