--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,8 @@
 use crate::answers::Answers;
 use crate::ids::{BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
 use crate::state::{
-    Availability, Entry, ListMode, Load, Outcome, Phase, Seen, Server, Topic, TuneIn, Uplink, Viewing, Wish,
+    Availability, Entry, ListMode, Load, Outcome, Own, Phase, Seen, Server, Topic, TuneIn, Uplink, Viewing,
+    Wish,
 };
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
@@ -92,7 +93,7 @@
     held_at: BTreeSet<ServerId>,
     uplinks: BTreeMap<Rack, Uplink>,
     /// What this manager's viewings ask in all, and their number.
-    own: (f64, f64),
+    own: Own,
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
     waiting: BTreeSet<(Ms, ViewingId)>,
@@ -764,12 +765,10 @@
         let mut askers: Vec<Asker> = self.askers(server).into_iter().map(|it| it.1).collect();
         askers.push(mine);
         let it = &self.servers[server];
-        let uplink = self.uplink_of(it);
-        let n = askers.len() as f64;
+        let (uplink, n) = (self.uplink_of(it), askers.len() as f64);
         let link = self.claim(self.link_kb(it), self.link_seen(it), n, FILL);
-        let rack =
-            self.claim(self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own.1 + 1.0, self.pooled(FILL));
-        let capacity = link.min(rack * n / (uplink.own.1 + 1.0));
+        let all = uplink.own.1 + 1.0;
+        let capacity = link.min(self.uplink_claim(self.uplink_seen(uplink), all, FILL) * n / all);
         let lot = self.chance.part();
         self.split(&mut askers, capacity, lot);
         let same =
@@ -781,17 +780,15 @@
     /// False if even the lowest rung for all who are there breaks the bound of the link or the uplink.
     fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
         let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
-        let fits = |told: f64, seen: Seen, own: (f64, f64)| {
-            let capacity = capacity_of(told, seen);
-            let others = (seen.asked * capacity - seen.own.0).max(0.0);
+        let fits = |told: f64, seen: Seen, own: Own| {
+            let (capacity, others) = (capacity_of(told, seen), others_kb(told, seen));
             let n = own.1 + 1.0 + others / self.mean_kb(seen);
-            let all = if viewing.over_share {
+            if viewing.over_share {
                 // Past its share a viewing takes only what is free: none of the others steps down for it.
-                return others + own.0 + lowest <= capacity * UP_FILL;
+                others + own.0 + lowest <= capacity * UP_FILL
             } else {
-                lowest * (n + PHI * n.sqrt())
-            };
-            all <= capacity * DOWN_FILL
+                lowest * (n + PHI * n.sqrt()) <= capacity * DOWN_FILL
+            }
         };
         let uplink = self.uplink_of(server);
         fits(self.link_kb(server), self.link_seen(server), server.own)
@@ -821,9 +818,17 @@
     /// What n of this manager's viewings may ask of a link or uplink: their part of its capacity. The others
     /// are counted by what they ask over the mean rate, whether they belong to one manager or to hundreds.
     fn claim(&self, told: f64, seen: Seen, n: f64, fill: f64) -> f64 {
-        let capacity = capacity_of(told, seen);
-        let others = (seen.asked * capacity - seen.own.0).max(0.0) / self.mean_kb(seen);
-        capacity * fill * n / (n + others).max(1e-6)
+        let others = others_kb(told, seen) / self.mean_kb(seen);
+        capacity_of(told, seen) * fill * n / (n + others).max(1e-6)
+    }
+
+    /// An uplink pools the swings of many viewings: where it is reported it may be filled further than a link,
+    /// and a shortage of it is sooner more than a swing. One that is not told at all limits nothing.
+    fn uplink_claim(&self, seen: Seen, n: f64, fill: f64) -> f64 {
+        match self.terms.uplink_kb {
+            told if told > 0.0 => self.claim(told, seen, n, self.pooled(fill)),
+            _ => f64::INFINITY,
+        }
     }
 
     fn fresh(&self, seen: Option<Seen>) -> Option<Seen> {
@@ -861,19 +866,14 @@
         up.map(|it| self.link_used(it) * self.link_kb(it)).sum::<f64>() / self.terms.uplink_kb.max(1.0)
     }
 
-    fn usually(&self, usual: f64, told: f64, own: (f64, f64)) -> Seen {
+    fn usually(&self, usual: f64, told: f64, own: Own) -> Seen {
         let asked = usual * (1.0 - 1.0 / self.terms.managers.max(1.0)) + own.0 / told.max(1.0);
         Seen { asked, own, at: self.now }
     }
 
-    /// An uplink pools the swings of many viewings: where it is reported it may be filled further than a link,
-    /// and a shortage of it is sooner more than a swing.
     fn pooled(&self, fill: f64) -> f64 {
-        if self.terms.uplinks_reported {
-            fill.clamp(POOLED_FILL, SHORT)
-        } else {
-            fill.min(SHORT)
-        }
+        let least = if self.terms.uplinks_reported { POOLED_FILL } else { 0.0 };
+        fill.clamp(least, SHORT)
     }
 
     /// The lesser of the link and the server's share of its rack's uplink.
@@ -882,25 +882,25 @@
         let uplink = self.uplink_of(it);
         let link = self.claim(self.link_kb(it), self.link_seen(it), it.own.1, fill);
         let guess = Some(self.uplink_seen(uplink)).filter(|_| fill < 1.0);
-        let Some(seen) = self.uplink_known(uplink).or(guess).filter(|_| self.terms.uplink_kb > 0.0) else {
+        let Some(seen) = self.uplink_known(uplink).or(guess) else {
             return link;
         };
-        let claim = self.claim(self.terms.uplink_kb, seen, uplink.own.1, self.pooled(fill));
-        let own = uplink.own.0;
+        let (claim, own) = (self.uplink_claim(seen, uplink.own.1, fill), uplink.own.0);
         link.min(if claim >= own { it.own.0 + claim - own } else { it.own.0 * claim / own })
     }
 
     /// What is free of a link and its uplink in all.
     fn free_kb(&self, server: &ServerId, fill: f64) -> f64 {
+        let free = |told: f64, seen: Seen, own: Own, fill: f64| {
+            capacity_of(told, seen) * fill - others_kb(told, seen) - own.0
+        };
         let it = &self.servers[server];
-        let (link, uplink) = (self.link_seen(it), self.uplink_of(it));
-        let free = capacity_of(self.link_kb(it), link) * (fill - link.asked) + link.own.0 - it.own.0;
+        let (link, uplink) = (free(self.link_kb(it), self.link_seen(it), it.own, fill), self.uplink_of(it));
         if self.terms.uplink_kb <= 0.0 {
-            return free;
+            return link;
         }
         let seen = self.uplink_seen(uplink);
-        let rack = capacity_of(self.terms.uplink_kb, seen) * (self.pooled(fill) - seen.asked) + seen.own.0;
-        free.min(rack - uplink.own.0)
+        link.min(free(self.terms.uplink_kb, seen, uplink.own, self.pooled(fill)))
     }
 
     fn link_used(&self, server: &Server) -> f64 {
@@ -995,7 +995,7 @@
     }
 }
 
-fn added(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
+fn added(a: Own, b: Own) -> Own {
     // Nothing held asks nothing, whatever fractions are left over.
     if a.1 + b.1 < 0.5 {
         (0.0, 0.0)
@@ -1011,11 +1011,11 @@
 
 /// More of one's own than the whole that is seen: the link is larger than told, or titles run low.
 fn capacity_of(told: f64, seen: Seen) -> f64 {
-    if seen.asked > 0.0 {
-        told.max(seen.own.0 / seen.asked)
-    } else {
-        told
-    }
+    told.max(if seen.asked > 0.0 { seen.own.0 / seen.asked } else { 0.0 })
+}
+
+fn others_kb(told: f64, seen: Seen) -> f64 {
+    (seen.asked * capacity_of(told, seen) - seen.own.0).max(0.0)
 }
 
 fn never_ran(viewing: &Viewing) -> bool {
