--- a/src/brain.rs
+++ b/src/brain.rs
@@ -853,13 +853,16 @@
             if self.terms.uplinks_reported {
                 return self.usually(self.usual_uplink, self.terms.uplink_kb, uplink.own);
             }
-            let left = (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp();
-            let asked = self.counted(uplink) * (1.0 + uplink.missing.0 * left);
+            let asked = self.counted(uplink) * (1.0 + self.missing(uplink));
             Seen { asked, own: uplink.own, at: self.now }
         };
         self.uplink_known(uplink).unwrap_or_else(guess)
     }
 
+    fn missing(&self, uplink: &Uplink) -> f64 {
+        uplink.missing.0 * (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp()
+    }
+
     fn counted(&self, uplink: &Uplink) -> f64 {
         let all = uplink.servers.iter().map(|id| &self.servers[id]);
         let up = all.filter(|it| it.entry.availability == Availability::Up);
@@ -972,9 +975,10 @@
         } else {
             let rack = self.rack(&self.servers[server]);
             self.note_uplink(server, asked, at);
+            let before = self.missing(&self.uplinks[&rack]);
             let missing = asked / self.counted(&self.uplinks[&rack]).max(1e-6) - 1.0;
             if let Some(uplink) = self.uplinks.get_mut(&rack) {
-                uplink.missing = (missing.max(0.0), self.now);
+                uplink.missing = (missing.max(before), self.now);
             }
         }
     }
