--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,6 +16,8 @@
 
 /// Normal point of the root margin, for held counts.
 const PHI: f64 = 0.1;
+/// The same for the steps up of all managers after one note, which are drawn apart.
+const DRAWN_PHI: f64 = 1.645;
 /// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
 /// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
 const FILL: f64 = 0.92;
@@ -390,7 +392,8 @@
             let part = |ix: &usize| {
                 after[*ix].rung.0 += 1;
                 let step = self.bound(&after) - asks;
-                free >= step && room >= lot * step * above
+                let root = ((DRAWN_PHI * DRAWN_PHI + 4.0 * free / step).max(0.0).sqrt() - DRAWN_PHI) / 2.0;
+                free >= step && room * (root * root * step / free) >= lot * step * above
             };
             low.filter(part).map(|ix| (ix, held[ix].rung.0 + 1))
         } else {
