--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 /// A note older than this many note times counts no more.
 const STALE: f64 = 2.5;
 /// What is known of an uplink that is never reported fades in about this many.
-const TRUST: f64 = 1.5;
+const TRUST: f64 = 20.0;
 /// A tune-in that another can follow waits for this part of the join target.
 const FIRST_WAIT: f64 = 0.5;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
