--- a/src/brain.rs
+++ b/src/brain.rs
@@ -943,7 +943,7 @@
             it.seen = Some(Seen { asked, own: it.own_at(at), at });
         }
         let known = self.held_at.iter().filter_map(|id| self.fresh(self.servers[id].seen));
-        self.usual_link = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
+        self.usual_link = mean(known.map(|it| it.asked)).unwrap_or(asked);
     }
 
     fn note_uplink(&mut self, server: &ServerId, asked: f64, at: Ms) {
@@ -958,7 +958,7 @@
             }
         }
         let known = self.held_at.iter().filter_map(|id| self.fresh(self.uplink_of(&self.servers[id]).seen));
-        self.usual_uplink = mean(known.map(|it| it.asked)).unwrap_or(asked).min(FILL);
+        self.usual_uplink = mean(known.map(|it| it.asked)).unwrap_or(asked);
     }
 
     /// Short delivery is the link's, unless a note on the link that is no older than the shortage does not
