--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,8 +18,8 @@
 const PHI: f64 = 0.1;
 /// The same for the steps up of all managers after one note, which are drawn apart.
 const DRAWN_PHI: f64 = 1.645;
-/// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, and after
-/// a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
+/// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, after that,
+/// and after a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
 const FILL: f64 = 0.92;
 const DOWN_FILL: f64 = 1.15;
 const EASED: f64 = 1.0;
@@ -48,16 +48,13 @@
 const CROSS_HANDICAP: f64 = 2.0;
 /// Each server is weighed, and each held viewing looked at, once in this part of the shortest join target.
 const BEAT: f64 = 0.1;
-/// A first failure keeps a server out of the pick for this many join targets; each further one doubles it.
-const SHUN: f64 = 1.0;
 /// A server that turned a set-up away is left out for this part of the time between notes.
 const AWAY: f64 = 0.5;
 
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
 /// Each is a condition and an effect; it tells whether it fired.
-const RULES: [Rule; 6] =
-    [Brain::end_overdue, Brain::give_up, Brain::tune_in, Brain::hold, Brain::step, Brain::keep_awake];
+const RULES: [Rule; 5] = [Brain::give_up, Brain::tune_in, Brain::hold, Brain::step, Brain::keep_awake];
 
 /// A multiply-with-carry generator.
 struct Chance(u64);
@@ -279,19 +276,14 @@
 
     // Rules.
 
-    /// Rule 1: a viewing with nothing out whose patience ends is answered now.
-    fn end_overdue(&mut self, out: &mut dyn Answers) -> bool {
-        let vw = self.waiting_now().filter(|vw| self.now >= self.viewings[vw].wish.due);
-        vw.is_some_and(|vw| self.finish(&vw, out))
-    }
-
-    /// What can't be tuned in any more, finds no room, or has waited in vain for its join target, gets its
-    /// answer at once.
+    /// Rule 1: what has nothing out when its patience ends, can't be tuned in any more, finds no room or has
+    /// waited in vain for its join target, gets its answer at once.
     fn give_up(&mut self, out: &mut dyn Answers) -> bool {
         let vw = self.waiting_now().filter(|vw| {
             let it = &self.viewings[vw];
             let late = self.now - it.taken >= self.package(it).join_target;
-            !self.may_tune_in(it) || (self.eligible(it).is_empty() && (late || !self.may_hope(it)))
+            let over = self.now >= it.wish.due || !self.may_tune_in(it);
+            over || (self.eligible(it).is_empty() && (late || !self.may_hope(it)))
         });
         vw.is_some_and(|vw| self.finish(&vw, out))
     }
@@ -458,18 +450,8 @@
         let rung = self.terms.packages[wish.package.0].floor;
         let asked = wish.tenant.filter(|_| phase == Phase::Waiting);
         let over_share = asked.is_some_and(|tenant| self.over_share(tenant));
-        let (taken, started) = (self.now, Ms::LONG_AGO);
-        let vw = wish.vw.clone();
-        let viewing = Viewing {
-            wish,
-            taken,
-            phase: Phase::Over,
-            rung,
-            started,
-            tune_ins: Vec::new(),
-            over_share,
-            look_at: taken,
-        };
+        let (vw, taken) = (wish.vw.clone(), self.now);
+        let viewing = Viewing::taken(wish, taken, rung, over_share);
         self.viewings.insert(vw.clone(), viewing);
         self.amend(&vw, |it| (it.phase, it.tune_ins) = (phase, tune_ins));
     }
@@ -658,9 +640,9 @@
         let length = if all >= 2.0 { cold.fall_window * (1.0 / (all - 1.0)) } else { cold.fall_window * 2.0 };
         let turn = (self.now / length).floor();
         let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
-        let id = server.entry.server.to_string();
-        let shift = id.bytes().fold(0, |sum: u64, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
-        let my_turn = (turn + (shift % 65_521) as f64).rem_euclid(managers) == self.terms.me.0 as f64;
+        let name = server.entry.server.to_string();
+        let shift = name.bytes().fold(0, |sum: u64, byte| (sum * 31 + u64::from(byte)) % 65_521);
+        let my_turn = (turn + shift as f64).rem_euclid(managers) == self.terms.me.0 as f64;
         my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
     }
 
@@ -685,7 +667,7 @@
             Outcome::NoConnection | Outcome::ConnectionLost | Outcome::NoAnswer => {
                 if self.now >= server.shunned_until {
                     server.failures += 1;
-                    let spell = join * SHUN * 2f64.powi(server.failures.min(8) as i32 - 1);
+                    let spell = join * 2f64.powi(server.failures.min(8) as i32 - 1);
                     server.shunned_until = self.now + spell.min(self.terms.cold.lasts);
                 }
             }
@@ -838,6 +820,12 @@
         seen.filter(|it| self.now - it.at < self.note_gap() * STALE + self.terms.seen_after)
     }
 
+    fn mean_asked(&self, seen: impl Iterator<Item = Option<Seen>>) -> Option<f64> {
+        let known = seen.filter_map(|it| self.fresh(it));
+        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), it| (sum + it.asked, n + 1.0));
+        (n > 0.0).then_some(sum / n)
+    }
+
     /// The last note on a link; without one, the other managers' part is as elsewhere.
     fn link_seen(&self, server: &Server) -> Seen {
         self.fresh(server.seen).unwrap_or(self.usually(self.usual_link, self.link_kb(server), server.own))
@@ -942,8 +930,8 @@
         if it.seen.is_none_or(|it| it.at <= at) {
             it.seen = Some(Seen { asked, own: it.own_at(at), at });
         }
-        let known = self.held_at.iter().filter_map(|id| self.fresh(self.servers[id].seen));
-        self.usual_link = mean(known.map(|it| it.asked)).unwrap_or(asked);
+        let links = self.held_at.iter().map(|id| self.servers[id].seen);
+        self.usual_link = self.mean_asked(links).unwrap_or(asked);
     }
 
     fn note_uplink(&mut self, server: &ServerId, asked: f64, at: Ms) {
@@ -957,8 +945,8 @@
                 uplink.seen = Some(Seen { asked, own, at });
             }
         }
-        let known = self.held_at.iter().filter_map(|id| self.fresh(self.uplink_of(&self.servers[id]).seen));
-        self.usual_uplink = mean(known.map(|it| it.asked)).unwrap_or(asked);
+        let uplinks = self.held_at.iter().map(|id| self.uplink_of(&self.servers[id]).seen);
+        self.usual_uplink = self.mean_asked(uplinks).unwrap_or(asked);
     }
 
     /// Short delivery is the link's, unless a note on the link that is no older than the shortage does not
@@ -1011,11 +999,6 @@
     }
 }
 
-fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
-    let (sum, n) = values.fold((0.0, 0.0), |(sum, n), it| (sum + it, n + 1.0));
-    (n > 0.0).then_some(sum / n)
-}
-
 /// More of one's own than the whole that is seen: the link is larger than told, or titles run low.
 fn capacity_of(told: f64, seen: Seen) -> f64 {
     told.max(if seen.asked > 0.0 { seen.own.0 / seen.asked } else { 0.0 })
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -176,7 +176,7 @@
 }
 
 // Where hundreds share a link, an equal part of what is free was less than any step and links stood idle.
-#[test_case(0.5, 0.3, &["a to 1"]; "a part that is not whole, drawn")]
+#[test_case(0.5, 0.1, &["a to 1"]; "a part that is not whole, drawn")]
 #[test_case(0.5, 0.9, &[]; "not drawn")]
 #[test_case(0.84, 0.001, &[]; "a whole step does not fit the link")]
 #[test_case(1.3, 0.2, &["a to 0"]; "down, drawn")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,6 +152,12 @@
 }
 
 impl Viewing {
+    /// Nothing is owed yet and nothing is out.
+    pub fn taken(wish: Wish, taken: Ms, rung: Rung, over_share: bool) -> Viewing {
+        let (phase, tune_ins, started) = (Phase::Over, Vec::new(), Ms::LONG_AGO);
+        Viewing { wish, taken, phase, rung, started, tune_ins, over_share, look_at: taken }
+    }
+
     pub fn out(&self) -> bool {
         self.tune_ins.last().is_some_and(|it| it.outcome.is_none())
     }
