--- a/src/brain.rs
+++ b/src/brain.rs
@@ -765,20 +765,20 @@
     /// False if even the lowest rung for all who are there breaks the bound of the link or the uplink.
     fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
         let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
-        let fits = |told: f64, seen: Seen, own: Own| {
+        let fits = |told: f64, seen: Seen, own: Own, free: f64| {
             let (capacity, others) = (capacity_of(told, seen), others_kb(told, seen));
             let n = own.1 + 1.0 + others / self.mean_kb(seen);
             if viewing.over_share {
                 // Past its share a viewing takes only what is free: none of the others steps down for it.
-                others + own.0 + lowest <= capacity * UP_FILL
+                others + own.0 + lowest <= capacity * free
             } else {
                 lowest * (n + PHI * n.sqrt()) <= capacity * DOWN_FILL
             }
         };
         let uplink = self.uplink_of(server);
-        fits(self.link_kb(server), self.link_seen(server), server.own)
-            && (self.terms.uplink_kb <= 0.0
-                || fits(self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own))
+        let rack = (self.terms.uplink_kb, self.uplink_seen(uplink), uplink.own, self.pooled(UP_FILL));
+        fits(self.link_kb(server), self.link_seen(server), server.own, UP_FILL)
+            && (rack.0 <= 0.0 || fits(rack.0, rack.1, rack.2, rack.3))
     }
 
     fn rack(&self, server: &Server) -> Rack {
