--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,8 +24,6 @@
 const DOWN_FILL: f64 = 1.15;
 const EASED: f64 = 1.0;
 const UP_FILL: f64 = 0.85;
-/// An uplink that is reported may be filled this far: it pools the swings of many viewings.
-const POOLED_FILL: f64 = 0.95;
 /// An uplink asked for more than this is brought down.
 const SHORT: f64 = 1.04;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
@@ -238,8 +236,8 @@
         match topic {
             Topic::RungInForce => {}
             // The share delivered is smoothed, and shows a change that much later.
-            Topic::ShareDelivered => self.draw_lot(server, at - self.terms.seen_after),
-            Topic::LinkAsked | Topic::UplinkAsked => self.draw_lot(server, at),
+            Topic::ShareDelivered => self.draw_lot(server, at, self.terms.seen_after),
+            Topic::LinkAsked | Topic::UplinkAsked => self.draw_lot(server, at, Ms(0.0)),
         }
         match topic {
             Topic::RungInForce => {
@@ -351,11 +349,11 @@
         let Some(id) = self.held_at.iter().find(due).cloned() else {
             return false;
         };
-        let (now, next, silence) =
-            (self.now, self.now + self.beat(), self.note_gap().max(self.beat()) * STALE);
+        let (now, next) = (self.now, self.now + self.beat());
+        let silence = self.note_gap() * STALE;
         if now - self.servers[&id].lot_at >= silence {
             // Notes stay out: what is usual elsewhere stands in for them, and shortage would still be told.
-            self.draw_lot(&id, now);
+            self.draw_lot(&id, now, Ms(0.0));
         }
         let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
         let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
@@ -392,14 +390,12 @@
             None
         };
         if let Some(server) = self.servers.get_mut(&id) {
+            server.unsettled_at = if broken { now } else { server.unsettled_at };
             server.look_at = match changed {
                 Some(_) if broken => next,
                 Some(_) => now + self.terms.reports_every * UP_PACE,
                 None => now + silence,
             };
-            if broken {
-                server.unsettled_at = now;
-            }
         }
         if let Some((ix, rung)) = changed {
             out.step_to(&names[ix], Rung(rung));
@@ -520,7 +516,7 @@
 
     /// Time between two notes on a server, where any come.
     fn note_gap(&self) -> Ms {
-        self.terms.reports_every.max(self.terms.seen_after).max(self.terms.tick)
+        self.terms.reports_every.max(self.terms.seen_after).max(self.beat())
     }
 
     fn beat(&self) -> Ms {
@@ -866,7 +862,7 @@
     }
 
     fn pooled(&self, fill: f64) -> f64 {
-        let least = if self.terms.uplinks_reported { POOLED_FILL } else { 0.0 };
+        let least = if self.terms.uplinks_reported { FILL } else { 0.0 };
         fill.clamp(least, SHORT)
     }
 
@@ -914,12 +910,16 @@
 
     // What is told of links and uplinks.
 
-    /// A lot decides what is made of a note; one that tells of a time before the last lot shows nothing yet of
-    /// what all managers made of that.
-    fn draw_lot(&mut self, server: &ServerId, at: Ms) {
+    /// A lot decides what is made of a note. One of a time before the last lot adds to what was known then and is
+    /// weighed with that lot; one of soon after it shows only a part of what all managers made of that.
+    fn draw_lot(&mut self, server: &ServerId, at: Ms, smoothing: Ms) {
         let (lot, next) = (self.chance.part(), self.now + self.beat());
-        if let Some(it) = self.servers.get_mut(server).filter(|it| it.lot_at <= at) {
-            (it.lot, it.lot_at, it.look_at) = (lot, self.now, next);
+        if let Some(it) = self.servers.get_mut(server) {
+            if it.lot_at + smoothing <= at {
+                (it.lot, it.lot_at, it.look_at) = (lot, self.now, next);
+            } else if at < it.lot_at {
+                it.look_at = it.look_at.min(next);
+            }
         }
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -200,14 +200,14 @@
 fn one_lot_for_what_is_made_of_it(at: f64, drawn: bool) {
     let mut it = brain(terms(), 1);
     server(&mut it, "s0").lot_at = Ms(99_500.0);
-    it.draw_lot(&"s0".into(), Ms(at));
+    it.draw_lot(&"s0".into(), Ms(at), Ms(0.0));
     assert_eq!(server(&mut it, "s0").lot < 1.0, drawn);
 }
 
 // A burst left an uplink at 0.88 of what was asked for seconds: the tolerance of a link is too much for it.
 #[test_case(true, 1.1, 52.0; "a reported one is brought down from 1.04")]
 #[test_case(false, 1.1, 52.0; "so is one that short delivery shows")]
-#[test_case(true, 0.8, 47.5; "a reported one is filled further than a link")]
+#[test_case(true, 0.8, 46.0; "a reported one is filled further than a link")]
 #[test_case(false, 0.8, 40.0; "one that is not is filled like a link")]
 fn uplinks_come_down_sooner(reported: bool, fill: f64, expected: f64) {
     let mut it = brain(Terms { uplinks_reported: reported, ..terms() }, 1);
