--- a/src/brain.rs
+++ b/src/brain.rs
@@ -853,7 +853,7 @@
     fn counted(&self, uplink: &Uplink) -> f64 {
         let all = uplink.servers.iter().map(|id| &self.servers[id]);
         let up = all.filter(|it| it.entry.availability == Availability::Up);
-        up.map(|it| self.link_used(it) * self.link_kb(it)).sum::<f64>() / self.terms.uplink_kb.max(1.0)
+        up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>() / self.terms.uplink_kb.max(1.0)
     }
 
     fn usually(&self, usual: f64, told: f64, own: Own) -> Seen {
