--- a/src/brain.rs
+++ b/src/brain.rs
@@ -144,9 +144,7 @@
         match mode {
             ListMode::Failed if self.terms.must_subscribe => out.subscribe(),
             ListMode::Full | ListMode::Saved => {
-                for server in self.servers.values_mut() {
-                    server.entry.availability = Availability::Gone;
-                }
+                self.servers.values_mut().for_each(|it| it.entry.availability = Availability::Gone);
             }
             _ => {}
         }
@@ -240,14 +238,10 @@
             Topic::LinkAsked | Topic::UplinkAsked => self.draw_lot(server, at, Ms(0.0)),
         }
         match topic {
-            Topic::RungInForce => {
-                self.amend(vw, |it| it.rung = Rung(value.max(0.0) as usize));
-            }
+            Topic::RungInForce => self.amend(vw, |it| it.rung = Rung(value.max(0.0) as usize)),
             Topic::ShareDelivered => self.note_delivered(server, value, at),
             Topic::LinkAsked => {
-                if let Some(server) = self.servers.get_mut(server) {
-                    server.link_note = (value, at);
-                }
+                self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (value, at));
                 self.note_link(server, value, at);
             }
             Topic::UplinkAsked => self.note_uplink(server, value, at),
@@ -853,7 +847,8 @@
     fn counted(&self, uplink: &Uplink) -> f64 {
         let all = uplink.servers.iter().map(|id| &self.servers[id]);
         let up = all.filter(|it| it.entry.availability == Availability::Up);
-        up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>() / self.terms.uplink_kb.max(1.0)
+        up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>()
+            / self.terms.uplink_kb.max(1.0)
     }
 
     fn usually(&self, usual: f64, told: f64, own: Own) -> Seen {
@@ -955,19 +950,24 @@
         let Some(it) = self.servers.get_mut(server) else {
             return;
         };
+        it.delivered = (share, at);
         if share >= 0.98 {
             it.short_since = None;
             return;
         }
         let since = *it.short_since.get_or_insert(at);
-        let asked = 1.0 / share.max(0.05);
-        if it.link_note.1 < since || it.link_note.0 >= EXPLAINED {
-            self.note_link(server, asked, at);
+        let explained = it.link_note.1 < since || it.link_note.0 >= EXPLAINED;
+        // An uplink gives each of its servers no less than the best of them gets.
+        let rack = self.rack(&self.servers[server]);
+        let there = self.uplinks[&rack].servers.iter().map(|id| &self.servers[id]);
+        let told = |it: &Server| at - it.delivered.1 < self.terms.seen_after * 2.0;
+        let best = there.filter(|it| told(it)).map(|it| it.delivered.0).fold(share, f64::max);
+        if explained || share < best * EXPLAINED {
+            self.note_link(server, 1.0 / share.max(0.05), at);
         } else {
-            let rack = self.rack(&self.servers[server]);
-            self.note_uplink(server, asked, at);
+            self.note_uplink(server, 1.0 / best, at);
             let before = self.missing(&self.uplinks[&rack]);
-            let missing = asked / self.counted(&self.uplinks[&rack]).max(1e-6) - 1.0;
+            let missing = 1.0 / best / self.counted(&self.uplinks[&rack]).max(1e-6) - 1.0;
             if let Some(uplink) = self.uplinks.get_mut(&rack) {
                 uplink.missing = (missing.max(before), self.now);
             }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -262,6 +262,27 @@
     assert_eq!(it.uplinks[&Rack(0)].seen.map(|it| it.asked), uplink);
 }
 
+// One link lost most of its rate in a rack a little short: all of it was laid to the uplink and the rack was shut.
+#[test_case(0.3, Some(1.0 / 0.3), None; "far under the best of the rack is the link")]
+#[test_case(0.88, None, Some(1.0 / 0.9); "an uplink gives no less than the best gets")]
+fn a_sudden_loss_at_one_link(share: f64, link: Option<f64>, uplink: Option<f64>) {
+    let mut it = brain(terms(), 3);
+    server(&mut it, "s2").delivered = (0.9, Ms(99_500.0));
+    server(&mut it, "s0").link_note = (0.5, it.now);
+    it.note_delivered(&"s0".into(), share, Ms(99_500.0));
+    assert_eq!(it.servers[&"s0".into()].seen.map(|it| it.asked), link);
+    assert_eq!(it.uplinks[&Rack(0)].seen.map(|it| it.asked), uplink);
+}
+
+// Links asked for four times what they gave made their rack look full.
+#[test]
+fn a_link_passes_no_more_than_it_has() {
+    let mut it = brain(Terms { uplinks_reported: false, uplink_kb: 200.0, ..terms() }, 3);
+    it.note_link(&"s0".into(), 4.0, it.now);
+    it.note_link(&"s2".into(), 0.2, it.now);
+    assert!((it.counted(&it.uplinks[&Rack(0)]) - 0.6).abs() < 1e-9);
+}
+
 #[test_case(Repeat::AtMostOnce, Outcome::NoConnection, "shed", true; "unsafe that never ran")]
 #[test_case(Repeat::AtMostOnce, Outcome::NoAnswer, "abort", false; "unsafe that may have run")]
 #[test_case(Repeat::AtMostOnce, Outcome::CalledOff, "abort", false; "unsafe that was called off")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,6 +132,8 @@
     /// The last note on the link itself, and since when delivery has been short.
     pub link_note: (f64, Ms),
     pub short_since: Option<Ms>,
+    /// Share last delivered to viewings there, and when.
+    pub delivered: (f64, Ms),
     /// Viewings that the manager has there, set-ups included.
     pub held: BTreeSet<ViewingId>,
     /// What they ask by the ladder, and the changes of it, newest last.
@@ -175,6 +177,7 @@
             seen: None,
             link_note: (0.0, Ms::LONG_AGO),
             short_since: None,
+            delivered: (1.0, Ms::LONG_AGO),
             held: BTreeSet::new(),
             own: (0.0, 0.0),
             ledger: Vec::new(),
