--- a/src/brain.rs
+++ b/src/brain.rs
@@ -89,7 +89,6 @@
     /// Servers where this manager holds a viewing or sets one up.
     held_at: BTreeSet<ServerId>,
     uplinks: BTreeMap<Rack, Uplink>,
-    /// What this manager's viewings ask in all, and their number.
     own: Own,
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
@@ -743,7 +742,9 @@
         let (uplink, n) = (self.uplink_of(it), askers.len() as f64);
         let link = self.claim(self.link_kb(it), self.link_seen(it), n, FILL);
         let all = uplink.own.1 + 1.0;
-        let capacity = link.min(self.uplink_claim(self.uplink_seen(uplink), all, FILL) * n / all);
+        let part = link.min(self.uplink_claim(self.uplink_seen(uplink), all, FILL) * n / all);
+        // In a crowd others do not step down in time: a newcomer asks for no more than is free now.
+        let capacity = part.min(it.own.0 + self.free_kb(server, EASED).max(0.0));
         let lot = self.chance.part();
         self.split(&mut askers, capacity, lot);
         let same =
@@ -752,7 +753,7 @@
         rungs[self.chance.below(rungs.len())]
     }
 
-    /// False if even the lowest rung for all who are there breaks the bound of the link or the uplink.
+    /// False if even the lowest rung for all who are there breaks a bound.
     fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
         let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
         let fits = |told: f64, seen: Seen, own: Own, free: f64| {
@@ -874,7 +875,6 @@
         link.min(if claim >= own { it.own.0 + claim - own } else { it.own.0 * claim / own })
     }
 
-    /// What is free of a link and its uplink in all.
     fn free_kb(&self, server: &ServerId, fill: f64) -> f64 {
         let free = |told: f64, seen: Seen, own: Own, fill: f64| {
             capacity_of(told, seen) * fill - others_kb(told, seen) - own.0
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -482,6 +482,19 @@
     assert_eq!(said.0, expected);
 }
 
+// In a growing crowd newcomers took a rung that fitted only once others had stepped down.
+#[test_case(0.5, 3; "there is room")]
+#[test_case(0.9779, 1; "little is free")]
+#[test_case(1.2, 0; "nothing is free")]
+fn a_newcomer_asks_for_no_more_than_is_free(asked: f64, expected: usize) {
+    let mut it = brain(terms(), 1);
+    it.own = (800.0, 100.0);
+    it.note_uplink(&"s0".into(), 0.2, it.now);
+    it.note_link(&"s0".into(), asked, it.now);
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![]);
+    assert_eq!(it.draw(&viewing, &"s0".into()), Rung(expected));
+}
+
 #[test]
 fn the_less_used_of_two_holders_is_picked() {
     let mut it = brain(terms(), 2);
