--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -491,6 +491,7 @@
     it.own = (800.0, 100.0);
     it.note_uplink(&"s0".into(), 0.2, it.now);
     it.note_link(&"s0".into(), asked, it.now);
+    it.chance.part();
     let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![]);
     assert_eq!(it.draw(&viewing, &"s0".into()), Rung(expected));
 }
