--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -3,7 +3,7 @@
 use crate::conf::read_terms;
 use ottersail::answers::Answers;
 use ottersail::brain::Brain;
-use ottersail::ids::{BellTag, Cell, ManagerIx, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
+use ottersail::ids::{BellTag, Cell, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
 use ottersail::state::{Availability, Entry, ListMode, Load, Outcome, Topic, Wish};
 use ottersail::time::Ms;
 use std::collections::{BTreeMap, BTreeSet};
@@ -159,10 +159,6 @@
         self.line("RELAY", format_args!(" {vw} {cap} {server}"));
     }
 
-    fn withdraw(&mut self, vw: &ViewingId, no: TuneInNo) {
-        self.line("WITHDRAW", format_args!(" {vw} {}", no.0));
-    }
-
     fn step_to(&mut self, vw: &ViewingId, rung: Rung) {
         self.line("STEP_TO", format_args!(" {vw} {}", rung.0));
     }
@@ -181,32 +177,14 @@
         self.line("ERROR", format_args!(" {vw}"));
     }
 
-    fn rebalance(&mut self, vw: &ViewingId) {
-        self.line("REBALANCE", format_args!(" {vw}"));
-    }
-
     fn schedule(&mut self, tag: BellTag, at: Ms) {
         let ns = (at.0 * 1e6).ceil() as i64;
         self.line("SCHEDULE", format_args!(" {} {ns}", tag.0));
     }
 
-    fn publish(&mut self, to: Option<ManagerIx>, payload: &[u8]) {
-        let to = to.map_or("*".to_string(), |peer| peer.0.to_string());
-        let hex: String = payload.iter().map(|byte| format!("{byte:02x}")).collect();
-        self.line("PUBLISH", format_args!(" {to} {hex}"));
-    }
-
-    fn inspect(&mut self, server: &ServerId) {
-        self.line("INSPECT", format_args!(" {server}"));
-    }
-
     fn subscribe(&mut self) {
         self.line("SUBSCRIBE", format_args!(" 1"));
     }
-
-    fn debug(&mut self, text: &str) {
-        self.line("DEBUG", format_args!(" {text}"));
-    }
 }
 
 #[derive(Default)]
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -11,9 +11,6 @@
     fn relay(&mut self, _: &ViewingId, server: &ServerId, time_out: Ms) {
         self.0.push(format!("relay {server} {}", time_out.0));
     }
-    fn withdraw(&mut self, _: &ViewingId, _: TuneInNo) {
-        self.0.push("withdraw".into());
-    }
     fn step_to(&mut self, vw: &ViewingId, rung: Rung) {
         self.0.push(format!("{vw} to {}", rung.0));
     }
@@ -23,18 +20,10 @@
     fn abort(&mut self, _: &ViewingId) {
         self.0.push("abort".into());
     }
-    fn rebalance(&mut self, vw: &ViewingId) {
-        self.0.push(format!("rebalance {vw}"));
-    }
     fn schedule(&mut self, _: BellTag, _: Ms) {}
-    fn publish(&mut self, _: Option<ManagerIx>, payload: &[u8]) {
-        self.0.push(format!("tell {payload:?}"));
-    }
-    fn inspect(&mut self, _: &ServerId) {}
     fn subscribe(&mut self) {
         self.0.push("subscribe".into());
     }
-    fn debug(&mut self, _: &str) {}
 }
 
 fn package(value: f64) -> Package {
