--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 /// What is known of an uplink that is never reported fades in about this many.
 const TRUST: f64 = 20.0;
 /// A tune-in that another can follow waits for this part of the join target.
-const FIRST_WAIT: f64 = 0.5;
+const FIRST_WAIT: f64 = 0.35;
 /// Use that a holder in another zone must be better by, for each point of the price of crossing.
 const CROSS_HANDICAP: f64 = 2.0;
 /// Each server is weighed, and each held viewing looked at, once in this part of the shortest join target.
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -408,7 +408,7 @@
     assert_eq!(it.may_tune_in(&viewing), allowed);
 }
 
-#[test_case(1, true, 500.0; "another may follow")]
+#[test_case(1, true, 350.0; "another may follow")]
 #[test_case(1, false, 4000.0; "no other holder")]
 #[test_case(3, true, 4000.0; "the last tune-in")]
 fn time_out_leaves_room_for_another(no: usize, others: bool, expected: f64) {
@@ -494,7 +494,7 @@
     add(&mut it, "a", Phase::Waiting, 0, vec![]);
     let mut said = Said::default();
     it.tune_in(&mut said);
-    assert_eq!(said.0, ["a to 3", "relay s1 500"]);
+    assert_eq!(said.0, ["a to 3", "relay s1 350"]);
 }
 
 #[test_case(Terms { ladder_kb: vec![], packages: vec![Package { top: Rung(0), ..package(1.0) }], ..terms() }; "no ladder")]
