Playlists, signed addresses and the formats spoken with servers, as packages without I/O

The session manager needs a seam for each format before it can run. docs/session-manager.md weighs the seams and the data path; hls/ reads a title's playlist and keeps the sliding one of a viewing, tickets/ signs addresses with two keys in force, wire/ reads load reports, notes and the catalogue.

--- /dev/null
+++ b/tickets/src/lib.rs
@@ -0,0 +1,136 @@
+//! Addresses that a player is given carry the viewing, its rung and an expiry, authenticated by
+//! HMAC-SHA-256 (RFC 2104). Two keys are in force at once, so that one can follow another.
+
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use std::fmt;
+
+/// What a ticket is for. All of it is signed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim<'a> {
+    /// The viewing, or the watch that a playlist is reloaded for.
+    pub viewing: &'a str,
+    /// What may be fetched with it: a segment, a map, a playlist.
+    pub what: &'a str,
+    pub rung: usize,
+    /// Unix time in seconds from which the ticket counts no more.
+    pub expires: u64,
+}
+
+/// Why a ticket does not count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    Malformed,
+    UnknownKey,
+    Forged,
+    Expired,
+}
+
+impl fmt::Display for Denial {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Denial::Malformed => "the ticket is not of the form expiry.key.mac",
+            Denial::UnknownKey => "the ticket's key is not in force",
+            Denial::Forged => "the ticket does not belong to this address",
+            Denial::Expired => "the ticket has expired; reload the playlist",
+        })
+    }
+}
+
+/// The keys in force: the first signs, both are believed.
+#[derive(Clone)]
+pub struct Keys(Vec<(String, Vec<u8>)>);
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.debug_list().entries(self.0.iter().map(|it| &it.0)).finish()
+    }
+}
+
+impl Keys {
+    /// Reads lines `name secret`, the secret in base64url and at least 16 bytes; one or two of them.
+    ///
+    /// # Errors
+    /// Says in which line what is wrong.
+    pub fn read(text: &str) -> Result<Keys, String> {
+        let mut keys = Vec::new();
+        let lines = text.lines().map(str::trim).enumerate();
+        for (no, line) in lines.filter(|it| !it.1.is_empty() && !it.1.starts_with('#')) {
+            let no = no + 1;
+            let (name, secret) = line
+                .split_once(' ')
+                .ok_or_else(|| format!("line {no}: expected a name, a space and a secret"))?;
+            if name.is_empty() || !name.chars().all(|it| it.is_ascii_alphanumeric()) {
+                return Err(format!("line {no}: a key's name is of letters and digits"));
+            }
+            let secret = URL_SAFE_NO_PAD
+                .decode(secret.trim().trim_end_matches('='))
+                .map_err(|_| format!("line {no}: the secret is not base64url"))?;
+            if secret.len() < 16 {
+                return Err(format!(
+                    "line {no}: the secret has {} bytes, at least 16 are wanted",
+                    secret.len()
+                ));
+            }
+            if keys.iter().any(|it: &(String, Vec<u8>)| it.0 == name) {
+                return Err(format!("line {no}: key {name} is there twice"));
+            }
+            keys.push((name.to_string(), secret));
+        }
+        match keys.len() {
+            1 | 2 => Ok(Keys(keys)),
+            n => Err(format!("{n} keys; one or two are wanted, the one that signs first")),
+        }
+    }
+
+    /// The query string that goes with the claim: `t=expiry.key.mac`.
+    pub fn ticket(&self, claim: &Claim) -> String {
+        let (name, secret) = &self.0[0];
+        let mac = signed(secret, claim).finalize().into_bytes();
+        format!("t={}.{}.{}", claim.expires, name, URL_SAFE_NO_PAD.encode(mac))
+    }
+
+    /// Checks a ticket for what is asked; `claim.expires` is taken from the ticket.
+    ///
+    /// # Errors
+    /// Says why it does not count. The comparison takes equal time for every wrong mac.
+    pub fn check(
+        &self,
+        ticket: &str,
+        viewing: &str,
+        what: &str,
+        rung: usize,
+        now_s: u64,
+    ) -> Result<(), Denial> {
+        let mut parts = ticket.splitn(3, '.');
+        let mut part = || parts.next().ok_or(Denial::Malformed);
+        let (expires, name, mac) = (part()?, part()?, part()?);
+        let expires = expires.parse::<u64>().map_err(|_| Denial::Malformed)?;
+        let mac = URL_SAFE_NO_PAD.decode(mac).map_err(|_| Denial::Malformed)?;
+        let (_, secret) = self.0.iter().find(|it| it.0 == name).ok_or(Denial::UnknownKey)?;
+        let claim = Claim { viewing, what, rung, expires };
+        signed(secret, &claim).verify_slice(&mac).map_err(|_| Denial::Forged)?;
+        if now_s >= expires {
+            return Err(Denial::Expired);
+        }
+        Ok(())
+    }
+}
+
+/// Each part goes in with its length, so that no two claims give the same bytes.
+fn signed(secret: &[u8], claim: &Claim) -> Hmac<Sha256> {
+    // A key of any length is taken by HMAC, so this can't fail.
+    let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(secret).expect("HMAC takes keys of any length");
+    for part in [claim.viewing, claim.what] {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part.as_bytes());
+    }
+    mac.update(&(claim.rung as u64).to_be_bytes());
+    mac.update(&claim.expires.to_be_bytes());
+    mac
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/wire/src/notes.rs
@@ -0,0 +1,145 @@
+//! Notes of a server: one stream of server-sent events to each manager with viewings there.
+
+use crate::report::Report;
+use serde::{Deserialize, Serialize};
+
+/// A line may be so long; what is longer is not a note.
+const MOST_LINE: usize = 4096;
+
+/// Why a viewing ended at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndCause {
+    /// Played to its end.
+    Done,
+    /// The player fetches no more.
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// How full link and uplink are, or what share is delivered.
+    Load(Report),
+    Ended {
+        viewing: String,
+        cause: EndCause,
+    },
+    /// Nothing but a sign of life.
+    Alive,
+}
+
+impl Note {
+    /// The event's text.
+    pub fn write(&self) -> String {
+        match self {
+            Note::Load(report) => format!("event: load\ndata: {}\n\n", report.json()),
+            Note::Ended { viewing, cause } => {
+                let data = serde_json::json!({ "viewing": viewing, "cause": cause });
+                format!("event: ended\ndata: {data}\n\n")
+            }
+            Note::Alive => ":\n\n".into(),
+        }
+    }
+}
+
+/// Reads a stream piece by piece.
+#[derive(Debug, Default)]
+pub struct Reader {
+    line: Vec<u8>,
+    event: String,
+    data: String,
+}
+
+/// The peer speaks something else; the stream is of no use any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Garbled;
+
+impl Reader {
+    /// Takes what has come; gives each note that is whole.
+    ///
+    /// # Errors
+    /// [`Garbled`] if a line is too long or an event can't be read.
+    pub fn take(&mut self, bytes: &[u8], mut found: impl FnMut(Note)) -> Result<(), Garbled> {
+        for byte in bytes {
+            match byte {
+                b'\n' => {
+                    let line = std::mem::take(&mut self.line);
+                    let line = std::str::from_utf8(&line).map_err(|_| Garbled)?;
+                    if let Some(note) = self.line(line.trim_end_matches('\r'))? {
+                        found(note);
+                    }
+                }
+                _ if self.line.len() >= MOST_LINE => return Err(Garbled),
+                byte => self.line.push(*byte),
+            }
+        }
+        Ok(())
+    }
+
+    fn line(&mut self, line: &str) -> Result<Option<Note>, Garbled> {
+        if line.is_empty() {
+            let (event, data) = (std::mem::take(&mut self.event), std::mem::take(&mut self.data));
+            return match event.as_str() {
+                "load" => Report::read_json(&data).map(|it| Some(Note::Load(it))).ok_or(Garbled),
+                "ended" => {
+                    #[derive(Deserialize)]
+                    struct Ended {
+                        viewing: String,
+                        cause: EndCause,
+                    }
+                    let Ended { viewing, cause } = serde_json::from_str(&data).map_err(|_| Garbled)?;
+                    Ok(Some(Note::Ended { viewing, cause }))
+                }
+                // Events of kinds to come are passed over, as the format wants.
+                _ => Ok(None),
+            };
+        }
+        match line.split_once(':') {
+            Some(("", _)) => return Ok(Some(Note::Alive)),
+            Some(("event", value)) => self.event = value.trim().into(),
+            Some(("data", value)) if self.data.len() < MOST_LINE => self.data.push_str(value.trim()),
+            Some(("data", _)) => return Err(Garbled),
+            Some(("id" | "retry", _)) => {}
+            _ => return Err(Garbled),
+        }
+        Ok(None)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn read(bytes: &[u8], cut: usize) -> Result<Vec<Note>, Garbled> {
+        let (mut reader, mut notes) = (Reader::default(), Vec::new());
+        for part in bytes.chunks(cut.max(1)) {
+            reader.take(part, |it| notes.push(it))?;
+        }
+        Ok(notes)
+    }
+
+    proptest! {
+        #[test]
+        fn notes_come_through_however_they_are_cut(cut in 1usize..40) {
+            let load = Report { link: Some(0.5), ..Report::default() };
+            let ended = Note::Ended { viewing: "0-1.2".into(), cause: EndCause::Left };
+            let notes = vec![Note::Load(load), Note::Alive, ended];
+            let text: String = notes.iter().map(Note::write).collect();
+            prop_assert_eq!(read(text.as_bytes(), cut), Ok(notes));
+        }
+
+        #[test]
+        fn any_bytes_are_read_without_harm(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+            _ = read(&bytes, 7);
+        }
+    }
+
+    #[test]
+    fn what_is_no_stream_is_told() {
+        assert_eq!(read(&[b'x'; 5000], 64), Err(Garbled));
+        assert_eq!(read(b"HTTP/1.1 200 OK\n\n", 64), Err(Garbled));
+        assert_eq!(read(b"event: load\ndata: nonsense\n\n", 64), Err(Garbled));
+        assert_eq!(read(b"event: later\ndata: x\n\n", 64), Ok(vec![]));
+    }
+}
