--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Figures in the usual text format.
+
+use ottersail_front::{Counts, Front, Reply};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds in seconds.
+const BOUNDS: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// How long answers took.
+#[derive(Debug)]
+pub struct Times {
+    played: Histogram,
+    refused: Histogram,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Times { played: Histogram::new(BOUNDS), refused: Histogram::new(BOUNDS) }
+    }
+}
+
+impl Times {
+    pub fn answered(&mut self, reply: &Reply, ms: f64) {
+        let of = if matches!(reply, Reply::Playlist(_)) { &self.played } else { &self.refused };
+        of.observe(ms / 1e3);
+    }
+}
+
+/// The page that is scraped.
+pub fn page(front: &Front, times: &Times, open: usize, turned_away: u64) -> String {
+    let mut registry = Registry::with_prefix("ottersail");
+    let Counts {
+        asked,
+        again,
+        played,
+        blocked,
+        aborted,
+        left,
+        turned_away_untaken,
+        tune_ins,
+        steps_up,
+        steps_down,
+        broken_off,
+        ended,
+    } = front.counts();
+    let counts = [
+        ("asked", "Viewings asked for", asked),
+        ("again", "Viewings taken as a viewer's coming again by reload", again),
+        ("played", "Viewings that began to play", played),
+        ("blocked", "Viewings blocked", blocked),
+        ("aborted", "Viewings aborted", aborted),
+        ("left", "Viewers who left before the answer", left),
+        ("untaken", "Requests turned away untaken: draining or full", turned_away_untaken),
+        ("tune_ins", "Set-ups sent to servers", tune_ins),
+        ("steps_up", "Rungs raised while playing", steps_up),
+        ("steps_down", "Rungs lowered while playing", steps_down),
+        ("broken_off", "Viewings lost with their server", broken_off),
+        ("ended", "Viewings that played and are over", ended),
+        ("connections_turned_away", "Connections turned away: too many, or no descriptor free", turned_away),
+    ];
+    for (name, help, value) in counts {
+        let counter: Counter = Counter::default();
+        counter.inc_by(value);
+        registry.register(name, help, counter);
+    }
+    let gauges = [
+        ("waiting", "Requests that wait for their answer", front.waiting()),
+        ("watches", "Viewers who watch", front.watches()),
+        ("viewings", "Viewings held, set-ups included", front.viewings()),
+        ("servers", "Servers in the list", front.servers()),
+        ("connections", "Connections open to players", open),
+    ];
+    for (name, help, value) in gauges {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(value as i64);
+        registry.register(name, help, gauge);
+    }
+    registry.register("answer_seconds_played", "Time to the answer, played", times.played.clone());
+    registry.register(
+        "answer_seconds_refused",
+        "Time to the answer, blocked or aborted",
+        times.refused.clone(),
+    );
+    let mut text = String::new();
+    // Writing to memory can't fail.
+    _ = encode(&mut text, &registry);
+    text
+}
--- /dev/null
+++ b/daemon/src/rehearse.rs
@@ -0,0 +1,307 @@
+//! `ottersail rehearse`: a day on loopback. The managers are processes of their own, so that they can be killed and
+//! stopped as such; servers, list and players run in here.
+
+use crate::settings::day::{read_day, Plan};
+use crate::settings::manager::{write_manager, Post};
+use ottersail::ids::ManagerIx;
+use ottersail::time::Ms;
+use ottersail_judge::{judge, record, Event, Verdict};
+use ottersail_net::Clock;
+use ottersail_standins::{run_fleet, run_players, Crowd, Fault, FaultKind, Recorder};
+use ottersail_tickets::Keys;
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::{self, File};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What is asked of a rehearsal.
+pub struct Rehearsal {
+    pub day: PathBuf,
+    pub record: Option<PathBuf>,
+    pub traffic: Option<PathBuf>,
+    pub seed: Option<u64>,
+    /// How loud the managers are.
+    pub log: String,
+    pub keep: bool,
+}
+
+/// After the last viewer has come, those who watch have so long to end.
+const PLAY_OUT: Duration = Duration::from_secs(12);
+const START: Duration = Duration::from_secs(10);
+
+struct Manager {
+    number: usize,
+    address: SocketAddr,
+    child: Child,
+    lives: usize,
+}
+
+struct Stage {
+    folder: PathBuf,
+    program: PathBuf,
+    recording: bool,
+    log: String,
+    seed: u64,
+}
+
+/// Plays a day and judges it.
+///
+/// # Errors
+/// What kept it from being played; a broken rule is no error but a verdict.
+pub fn rehearse(asked: &Rehearsal) -> Result<Verdict, Vec<String>> {
+    let text = fs::read_to_string(&asked.day).map_err(|it| vec![format!("{}: {it}", asked.day.display())])?;
+    let mut plan = read_day(&asked.day, &text)?;
+    if let Some(seed) = asked.seed {
+        plan.day.seed = seed;
+    }
+    let folder = std::env::temp_dir().join(format!("ottersail-rehearsal-{}", std::process::id()));
+    fs::create_dir_all(&folder).map_err(|it| vec![format!("{}: {it}", folder.display())])?;
+    let played = play(&plan, asked, &folder).map_err(|it| vec![it]);
+    let holds = played.as_ref().is_ok_and(Verdict::holds);
+    if asked.keep || !holds {
+        eprintln!("the managers' files and logs are in {}", folder.display());
+    } else {
+        _ = fs::remove_dir_all(&folder);
+    }
+    played
+}
+
+fn play(plan: &Plan, asked: &Rehearsal, folder: &Path) -> Result<Verdict, String> {
+    let tell = |it: std::io::Error| it.to_string();
+    let clock = Clock::start();
+    let traffic = asked.traffic.clone().unwrap_or_else(|| folder.join("traffic.jsonl"));
+    let recorder = Recorder::begin(&traffic, clock, plan.judged()).map_err(tell)?;
+    let secret = |_| format!("{:032x}", fastrand::u128(..));
+    let keys_text = format!("b {}{}\na {}{}\n", secret(0), "AA", secret(1), "AA");
+    let keys = Keys::read(&keys_text)?;
+    fs::write(folder.join("keys"), &keys_text).map_err(tell)?;
+    let (go, going) = async_channel::bounded(1);
+    let fleet = run_fleet(&plan.day, &recorder, &keys, going)?;
+
+    let stage = Stage {
+        folder: folder.to_path_buf(),
+        program: std::env::current_exe().map_err(tell)?,
+        recording: asked.record.is_some(),
+        log: asked.log.clone(),
+        seed: plan.day.seed,
+    };
+    let zones: Vec<String> =
+        (0..plan.day.managers).map(|it| plan.day.zones[it % plan.day.zones.len()].clone()).collect();
+    let mut managers = Vec::new();
+    for (number, zone) in zones.iter().enumerate() {
+        let address = free_address().map_err(tell)?;
+        let mut terms = plan.terms.clone();
+        terms.me = ManagerIx(number as u64);
+        terms.zone = zone.as_str().into();
+        let post = Post {
+            listen: &address.to_string(),
+            list: &fleet.list.to_string(),
+            keys: "keys",
+            grace: plan.grace,
+            list_wait: Ms(2_000.0),
+            silence: Ms(3_000.0),
+        };
+        fs::write(folder.join(format!("manager-{number}.ini")), write_manager(&terms, &post))
+            .map_err(tell)?;
+        let child = stage.start(number, 0).map_err(tell)?;
+        managers.push(Manager { number, address, child, lives: 1 });
+    }
+    let played = managers.iter().try_for_each(|it| wait_ready(it.address, START)).map(|()| {
+        managers.iter().for_each(|it| recorder.note(Event::ManagerReady { manager: it.number }));
+        let began = clock.now() + 200.0;
+        _ = go.send_blocking(began);
+        let crowd = Crowd {
+            day: plan.day.clone(),
+            recorder: recorder.clone(),
+            managers: managers.iter().map(|it| it.address).collect(),
+            zones,
+            sockets: vec![fleet.list],
+            began,
+        };
+        let over = Arc::new(AtomicBool::new(false));
+        let players = std::thread::spawn({
+            let over = over.clone();
+            move || {
+                run_players(crowd, PLAY_OUT);
+                over.store(true, Ordering::Release);
+            }
+        });
+        trouble(plan, &stage, &recorder, clock.instant(began), &mut managers, &over);
+        _ = players.join();
+    });
+    for it in &mut managers {
+        signal(&it.child, Signal::CONT);
+        signal(&it.child, Signal::TERM);
+    }
+    let unclean =
+        managers.iter_mut().filter_map(|it| wait_end(it, Duration::from_secs(10))).collect::<Vec<_>>();
+    fleet.stop();
+    recorder.close().map_err(tell)?;
+    played?;
+    if !unclean.is_empty() {
+        return Err(unclean.join("\n"));
+    }
+    if let Some(record) = &asked.record {
+        gather(&stage, &managers, record).map_err(tell)?;
+        fs::write(format!("{}.keys", record.display()), &keys_text).map_err(tell)?;
+    }
+    let (terms, lines) = record::read(BufReader::new(File::open(&traffic).map_err(tell)?))?;
+    Ok(judge(&terms, &lines))
+}
+
+impl Stage {
+    fn start(&self, number: usize, life: usize) -> std::io::Result<Child> {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("manager-{number}.log")))?;
+        let mut command = Command::new(&self.program);
+        command.arg("run").arg(self.folder.join(format!("manager-{number}.ini")));
+        command.args(["--log", &self.log]);
+        // Not the same chance for each manager and life.
+        let seed = self.seed.wrapping_mul(1_000_003) + (number * 1_009 + life * 7_919) as u64;
+        command.arg("--seed").arg(seed.to_string());
+        if self.recording {
+            command.arg("--record").arg(self.tape(number, life));
+        }
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()
+    }
+
+    fn tape(&self, number: usize, life: usize) -> PathBuf {
+        self.folder.join(format!("manager-{number}-{life}.tape"))
+    }
+}
+
+/// Kills and stops managers as the day says, until the players are done.
+fn trouble(
+    plan: &Plan,
+    stage: &Stage,
+    recorder: &Recorder,
+    began: Instant,
+    managers: &mut [Manager],
+    over: &AtomicBool,
+) {
+    let mut steps: Vec<(f64, bool, &Fault)> = Vec::new();
+    let ours = |it: &&Fault| matches!(it.kind, FaultKind::ManagerKill | FaultKind::ManagerStall);
+    for fault in plan.day.faults.iter().filter(ours) {
+        steps.push((fault.start, true, fault));
+        steps.push((fault.end, false, fault));
+    }
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut steps = steps.into_iter().peekable();
+    let mut returning: Vec<usize> = Vec::new();
+    while !over.load(Ordering::Acquire) {
+        std::thread::sleep(Duration::from_millis(10));
+        returning.retain(|it| {
+            let ready = is_ready(managers[*it].address);
+            if ready {
+                recorder.note(Event::ManagerReady { manager: *it });
+            }
+            !ready
+        });
+        let second = began.elapsed().as_secs_f64();
+        if Instant::now() < began || steps.peek().is_none_or(|it| it.0 > second) {
+            continue;
+        }
+        let Some((_, on, fault)) = steps.next() else {
+            continue;
+        };
+        let count = ((managers.len() as f64 * fault.part).round() as usize).clamp(1, managers.len());
+        // The same ones at the end as at the start.
+        for it in managers.iter_mut().rev().take(count) {
+            let manager = it.number;
+            match (fault.kind, on) {
+                (FaultKind::ManagerKill, true) => {
+                    recorder.note(Event::ManagerKilled { manager });
+                    _ = it.child.kill();
+                    _ = it.child.wait();
+                }
+                (FaultKind::ManagerKill, false) => {
+                    match stage.start(it.number, it.lives) {
+                        Ok(child) => (it.child, it.lives) = (child, it.lives + 1),
+                        Err(trouble) => eprintln!("manager {manager} could not be started again: {trouble}"),
+                    }
+                    returning.push(it.number);
+                }
+                (_, true) => {
+                    recorder.note(Event::ManagerStopped { manager });
+                    signal(&it.child, Signal::STOP);
+                }
+                (_, false) => {
+                    signal(&it.child, Signal::CONT);
+                    recorder.note(Event::ManagerContinued { manager });
+                }
+            }
+        }
+        recorder.note(Event::Fault { name: fault.name.clone(), on, what: format!("{count} managers") });
+    }
+}
+
+fn signal(child: &Child, signal: Signal) {
+    if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
+        _ = kill_process(pid, signal);
+    }
+}
+
+/// Waits for a manager to end by itself; what is wrong if it does not, or not well.
+fn wait_end(it: &mut Manager, patience: Duration) -> Option<String> {
+    let began = Instant::now();
+    while began.elapsed() < patience {
+        match it.child.try_wait() {
+            Ok(Some(status)) if status.success() => return None,
+            Ok(Some(status)) => return Some(format!("manager {} ended with {status}", it.number)),
+            _ => std::thread::sleep(Duration::from_millis(10)),
+        }
+    }
+    _ = it.child.kill();
+    _ = it.child.wait();
+    Some(format!("manager {} did not end within {patience:?} of SIGTERM", it.number))
+}
+
+/// An address that nobody holds just now.
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+fn is_ready(address: SocketAddr) -> bool {
+    let ask = || -> std::io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(100))?;
+        stream.set_read_timeout(Some(Duration::from_millis(200)))?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nhost: manager\r\nconnection: close\r\n\r\n")?;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head)?;
+        Ok(head.ends_with(b"200"))
+    };
+    ask().unwrap_or(false)
+}
+
+fn wait_ready(address: SocketAddr, patience: Duration) -> Result<(), String> {
+    let began = Instant::now();
+    while began.elapsed() < patience {
+        if is_ready(address) {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Err(format!("the manager at {address} was not ready within {patience:?}; its log tells why"))
+}
+
+/// Puts the records of all managers and lives into one file, one after the other.
+fn gather(stage: &Stage, managers: &[Manager], to: &Path) -> std::io::Result<()> {
+    let mut out = File::create(to)?;
+    for it in managers {
+        for life in 0..it.lives {
+            let mut text = fs::read(stage.tape(it.number, life))?;
+            if text.last().is_some_and(|it| *it != b'\n') {
+                text.push(b'\n');
+            }
+            out.write_all(&text)?;
+        }
+    }
+    out.flush()
+}
--- /dev/null
+++ b/daemon/src/settings/day.rs
@@ -0,0 +1,142 @@
+//! A day's settings: the terms that its managers share, the fleet, the viewers, and what goes wrong.
+
+use super::manager::terms;
+use super::sheet::{Section, Sheet};
+use ottersail::terms::{Repeat, Terms};
+use ottersail::time::Ms;
+use ottersail_judge::record::{PackageTerms, Terms as Judged};
+use ottersail_standins::{Day, DayPackage, Fault, FAULT_KINDS};
+use std::path::Path;
+
+/// A day, and the terms of its managers but for number and zone.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub day: Day,
+    pub terms: Terms,
+    pub grace: Ms,
+}
+
+const SECONDS: std::ops::RangeInclusive<f64> = 0.0..=3600.0;
+
+/// Reads a day's file.
+///
+/// # Errors
+/// Every complaint, each with file and line.
+pub fn read_day(path: &Path, text: &str) -> Result<Plan, Vec<String>> {
+    let sheet = Sheet::read(&path.display().to_string(), text);
+    let (day, fleet, players) = (sheet.section("day"), sheet.section("fleet"), sheet.section("players"));
+    let managers = fleet.whole("managers", 1..=64);
+    let zones: Vec<String> = fleet.text("zones").split(',').map(|it| it.trim().to_string()).collect();
+    let terms = terms(&sheet, (0, managers, &zones[0]));
+    let rules = sheet.section("rules");
+    let grace = rules.number("drain-grace-ms", 1.0..=3.6e6);
+    let worth = players.numbers("worth", 0.0..=1.0);
+    if worth.len() != terms.ladder_kb.len() {
+        players.complain("worth", format!("one figure for each of the {} rungs", terms.ladder_kb.len()));
+    }
+    let (kind, places) =
+        terms.places.iter().next().map_or((String::new(), 1.0), |it| (it.0.to_string(), *it.1));
+    let part = |section: &Section, key: &str, absent: f64| section.number_or(key, 0.0..=1.0, absent);
+    let packages: Vec<DayPackage> = sheet
+        .sections("package")
+        .iter()
+        .zip(&terms.packages)
+        .map(|((name, it), package)| {
+            let length = it.numbers("length-s", 1.0..=3600.0);
+            let (from, to) = (length.first().copied().unwrap_or(1.0), length.last().copied().unwrap_or(1.0));
+            if from > to {
+                it.complain("length-s", "the shortest comes first, then the longest");
+            }
+            let patience = it.number("patience-ms", 100.0..=120_000.0);
+            if patience < package.join_target.0 {
+                it.complain("patience-ms", "must not be under join-target-ms");
+            }
+            DayPackage {
+                name: (*name).to_string(),
+                share: it.number("share", 0.0..=1e6),
+                patience,
+                length: (from, to),
+                scale: package.scale,
+                may_repeat: package.repeat == Repeat::Idempotent,
+            }
+        })
+        .collect();
+    let faults = sheet.sections("fault").iter().map(|(name, it)| fault(name, it)).collect();
+    let day = Day {
+        seed: day.whole("seed", 0..=u64::MAX),
+        seconds: day.number("seconds", 1.0..=3600.0),
+        managers: managers as usize,
+        zones,
+        servers: fleet.whole("servers", 1..=2000) as usize,
+        racks: terms.racks,
+        cells: terms.cells,
+        kind,
+        places,
+        link_kb: terms.link_unit_kb,
+        uplink_kb: terms.uplink_kb,
+        uneven: part(&fleet, "uneven", 0.2),
+        cold: terms.cold.lasts.0,
+        start_capacity: terms.cold.start_capacity,
+        fall_multiple: terms.cold.fall_multiple,
+        fall: terms.cold.fall_window.0,
+        set_up: fleet.number("set-up-ms", 0.1..=10_000.0),
+        seen_after: terms.seen_after.0,
+        reports_every: terms.reports_every.0,
+        notice: fleet.number("notice-ms", 0.0..=60_000.0),
+        silent_notice: fleet.number("silent-notice-ms", 0.0..=120_000.0),
+        rates_kb: terms.ladder_kb.clone(),
+        worth,
+        segment: fleet.number("segment-ms", 100.0..=60_000.0),
+        titles: fleet.whole("titles", 1..=100_000) as usize,
+        copies: fleet.whole("copies", 1..=2000),
+        skew: players.number_or("skew", 0.0..=5.0, 1.0),
+        packages,
+        tenants: terms.tenants.iter().map(|it| it.name.clone()).collect(),
+        per_second: players.number("per-second", 0.1..=10_000.0),
+        impatient: part(&players, "impatient", 0.0),
+        leave_early: part(&players, "leave-early", 0.0),
+        come_again: part(&players, "come-again", 0.8),
+        faults,
+    };
+    let complaints = sheet.complaints();
+    if complaints.is_empty() {
+        Ok(Plan { day, terms, grace: Ms(grace) })
+    } else {
+        Err(complaints)
+    }
+}
+
+fn fault(name: &str, it: &Section) -> Fault {
+    let (start, end) = (it.number("start-s", SECONDS), it.number("end-s", SECONDS));
+    if end <= start {
+        it.complain("end-s", "must be after start-s");
+    }
+    Fault {
+        name: name.to_string(),
+        kind: it.word("kind", FAULT_KINDS),
+        start,
+        end,
+        part: it.number_or("part", 0.0..=1.0, 0.2),
+        size: it.number_or("size", 0.0..=1e6, 1.0),
+    }
+}
+
+impl Plan {
+    /// What the day is judged by.
+    pub fn judged(&self) -> Judged {
+        let terms = &self.terms;
+        let package = |it: &ottersail::terms::Package| {
+            let may_repeat = it.repeat != Repeat::AtMostOnce;
+            (it.name.clone(), PackageTerms { may_repeat, floor: it.floor.0, seats: it.seats })
+        };
+        Judged {
+            drain_grace: self.grace.0,
+            cold: terms.cold.lasts.0,
+            start_capacity: terms.cold.start_capacity,
+            fall_multiple: terms.cold.fall_multiple,
+            fall: terms.cold.fall_window.0,
+            budget: terms.budget.map(|it| (it.free, it.ratio, it.span.0)),
+            packages: terms.packages.iter().map(package).collect(),
+        }
+    }
+}
--- a/judge/src/lib.rs
+++ b/judge/src/lib.rs
@@ -1,1 +1,8 @@
+//! Judges the six rules from the record of what went over the sockets, as the stand-ins saw it by their own clock.
+//! Nothing that a manager says of itself counts.
 
+pub mod record;
+mod rules;
+
+pub use record::{Event, Line, Terms};
+pub use rules::{judge, Finding, Verdict};
--- /dev/null
+++ b/standins/src/list.rs
@@ -0,0 +1,156 @@
+//! The list of servers and titles: a catalogue that is asked by blocking queries.
+
+use crate::world::{Shared, LIMITS};
+use async_io::{Async, Timer};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use ottersail_judge::record::Standing as Told;
+use ottersail_judge::Event;
+use ottersail_net::{whole, Body, Nursery, Server};
+use ottersail_wire::catalogue::{write_servers, write_titles, Listed, Standing, Title, INDEX_HEADER};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+/// What the list has to say, and when it says it.
+#[derive(Default)]
+pub(crate) struct Book {
+    /// By when they are seen: who changed, and to what.
+    changes: Vec<(f64, String, Option<Listed>)>,
+    pub silent: bool,
+    pub failing: bool,
+    pub behind: f64,
+    pub back: f64,
+    told: BTreeMap<usize, BTreeMap<String, Told>>,
+}
+
+const FIRST_INDEX: usize = 1000;
+
+impl Book {
+    pub fn change(&mut self, now: f64, seen_at: f64, id: &str, entry: Option<Listed>) {
+        // What was to be said of it later is overtaken.
+        self.changes.retain(|it| it.0 <= now || it.1 != id || it.0 <= seen_at);
+        self.changes.push((seen_at, id.to_string(), entry));
+        self.changes.sort_by(|a, b| a.0.total_cmp(&b.0));
+    }
+
+    fn at(&self, time: f64) -> (usize, Vec<Listed>) {
+        let mut list: BTreeMap<&str, &Listed> = BTreeMap::new();
+        let seen = self.changes.iter().take_while(|it| it.0 <= time);
+        let mut count = 0;
+        for (_, id, entry) in seen {
+            count += 1;
+            match entry {
+                Some(entry) => _ = list.insert(id, entry),
+                None => _ = list.remove(id.as_str()),
+            }
+        }
+        (FIRST_INDEX + count, list.into_values().cloned().collect())
+    }
+}
+
+pub(crate) fn serve(nursery: &Nursery, listener: Async<TcpListener>, world: &Shared) {
+    let shared = world.clone();
+    let handler = move |request: Request<Incoming>, _| {
+        let world = shared.clone();
+        async move { answer(&world, &request).await }
+    };
+    nursery.spawn(ottersail_net::serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
+}
+
+pub(crate) fn query<'a>(request: &'a Request<Incoming>, key: &str) -> Option<&'a str> {
+    let pairs = request.uri().query()?.split('&');
+    pairs.filter_map(|it| it.split_once('=')).find(|it| it.0 == key).map(|it| it.1)
+}
+
+pub(crate) fn plain(status: u16, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(whole(text));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+}
+
+pub(crate) fn manager(request: &Request<Incoming>) -> usize {
+    let header = request.headers().get("x-manager").and_then(|it| it.to_str().ok());
+    header.and_then(|it| it.parse().ok()).unwrap_or(usize::MAX)
+}
+
+async fn answer(world: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    let index = query(request, "index").and_then(|it| it.parse::<usize>().ok());
+    let wait =
+        query(request, "wait").and_then(|it| it.strip_suffix("ms")?.parse::<u64>().ok()).unwrap_or(5000);
+    let deadline = Instant::now() + Duration::from_millis(wait.min(60_000));
+    let servers = request.uri().path().starts_with("/v1/health/service/");
+    if !servers && !request.uri().path().starts_with("/v1/kv/titles") {
+        return plain(404, "no such query");
+    }
+    loop {
+        let state = {
+            let it = world.borrow();
+            (it.book.silent, it.book.failing)
+        };
+        match state {
+            (true, _) => {}
+            (_, true) => return plain(500, "no leader"),
+            _ if !servers => {
+                if index.is_none_or(|it| it != 1) || Instant::now() >= deadline {
+                    return indexed(1, titles(world));
+                }
+            }
+            _ => {
+                let found = {
+                    let it = world.borrow();
+                    let time = it.now() - it.book.behind - it.book.back;
+                    let back = it.book.back > 0.0;
+                    let (at, list) = it.book.at(time);
+                    let news = index.is_none_or(|before| at > before || (back && at < before));
+                    (news || Instant::now() >= deadline).then_some((at, list))
+                };
+                if let Some((at, list)) = found {
+                    let mut it = world.borrow_mut();
+                    let text = write_servers(&list);
+                    tell(&mut it, manager(request), index.is_none(), &list);
+                    return indexed(at, text);
+                }
+            }
+        }
+        Timer::after(Duration::from_millis(25)).await;
+    }
+}
+
+fn indexed(index: usize, text: String) -> Response<Body> {
+    let mut response = Response::new(whole(text));
+    response.headers_mut().insert(INDEX_HEADER, index.into());
+    response
+}
+
+/// Writes down what the manager is told anew.
+fn tell(world: &mut crate::world::World, manager: usize, fresh: bool, list: &[Listed]) {
+    let told = world.book.told.entry(manager).or_default();
+    if fresh {
+        told.clear();
+    }
+    let mut now: BTreeMap<String, Told> = told.keys().map(|it| (it.clone(), Told::Gone)).collect();
+    for it in list {
+        let standing = if it.standing == Standing::Up { Told::Up } else { Told::Draining };
+        now.insert(it.id.clone(), standing);
+    }
+    for (server, standing) in &now {
+        if told.get(server) != Some(standing) {
+            let event = Event::Told { manager, server: server.clone(), standing: *standing };
+            world.recorder.note(event);
+        }
+    }
+    *told = now;
+}
+
+fn titles(world: &Shared) -> String {
+    let day = world.borrow().day.clone();
+    let mut titles = Vec::new();
+    for package in &day.packages {
+        for number in 0..day.titles {
+            let name = format!("{}-{number}", package.name);
+            titles.push(Title { name, base: (number as u64 * 7) % day.cells.max(1), copies: day.copies });
+        }
+    }
+    write_titles(&titles)
+}
--- a/wire/src/catalogue.rs
+++ b/wire/src/catalogue.rs
@@ -12,7 +12,8 @@
 /// An answer may be so large.
 pub const MOST_BYTES: usize = 8 << 20;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Standing {
     Up,
     /// Winding up: nothing new.
@@ -20,7 +21,7 @@
 }
 
 /// A streaming server as the catalogue lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
     pub id: String,
     /// `host:port`.
@@ -38,7 +39,7 @@
 /// A title and where it lies: in `copies` cells from `base` on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Title {
-    #[serde(skip)]
+    #[serde(default)]
     pub name: String,
     pub base: u64,
     pub copies: u64,
--- a/wire/src/notes.rs
+++ b/wire/src/notes.rs
@@ -16,7 +16,8 @@
     Left,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Note {
     /// How full link and uplink are, or what share is delivered.
     Load(Report),
--- a/wire/src/report.rs
+++ b/wire/src/report.rs
@@ -2,14 +2,14 @@
 //! read, `TEXT` (`TEXT named_metrics.link=0.9, named_metrics.uplink=0.4`) and `JSON`
 //! (`JSON {"named_metrics":{"link":0.9}}`).
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
 pub const HEADER: &str = "endpoint-load-metrics";
 
 /// What is asked over what is given, of the link and of the rack's uplink; from 0, also above 1. `delivered` is the
 /// share of their rates that viewings there get, 0 to 1.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub link: Option<f64>,
     pub uplink: Option<f64>,
@@ -104,7 +104,7 @@
         #[test]
         fn any_header_is_read_without_harm(text in "(TEXT |JSON )?\\PC{0,120}") {
             let report = Report::read(&text);
-            prop_assert!(report.link.is_none_or(|it| it >= 0.0 && it <= MOST));
+            prop_assert!(report.link.is_none_or(|it| (0.0..=MOST).contains(&it)));
         }
 
         #[test]
