--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,14 +1,7 @@
 //! The session manager as a program.
 
-mod hub;
-mod metrics;
-mod rehearse;
-mod replay;
-mod run;
-mod service;
-mod settings;
-
 use clap::{Parser, Subcommand};
+use ottersail_daemon::{rehearse, replay, run, settings};
 use ottersail_judge::{judge, record, Verdict};
 use std::fs::File;
 use std::io::BufReader;
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -120,7 +120,7 @@
             recorder: recorder.clone(),
             managers: managers.iter().map(|it| it.address).collect(),
             zones,
-            sockets: vec![fleet.list],
+            sockets: [vec![fleet.list], fleet.servers.clone()].concat(),
             began,
         };
         let over = Arc::new(AtomicBool::new(false));
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -194,6 +194,21 @@
         *response.status_mut() = StatusCode::CREATED;
         return response;
     }
+    if ill.garble {
+        // It answers, and nothing can be made of it: for the judge, an answer that a viewing may run by.
+        under_way.answered(500);
+        let garbled = match world.borrow_mut().rng.u8(..3) {
+            0 => text[..text.len() / 2].to_string(),
+            1 => text.replace("2.000", "NaN"),
+            _ => "#EXTM3U\n".repeat(1 << 19),
+        };
+        let mut response = Response::new(whole(garbled));
+        *response.status_mut() = StatusCode::CREATED;
+        let load =
+            hyper::header::HeaderValue::from_static("TEXT named_metrics.link=NaN, named_metrics.uplink=-3");
+        response.headers_mut().insert(HEADER, load);
+        return response;
+    }
     under_way.answered(201);
     let mut response = Response::new(whole(text));
     *response.status_mut() = StatusCode::CREATED;
@@ -319,6 +334,10 @@
         if proc.ill.hang {
             continue;
         }
+        if proc.ill.garble {
+            let load = "event: load\ndata: {\"named_metrics\":{\"link\":-1,\"uplink\":1e300}}\n\n";
+            proc.listeners.retain(|_, to| to.try_send(Bytes::from(load)).is_ok());
+        }
         // A manager that does not read its notes loses its stream, not the server's memory.
         proc.listeners.retain(|manager, to| {
             let mine = notes.iter().filter(|it| it.0.is_none_or(|it| it == *manager));
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -87,6 +87,10 @@
     ListFailing "list-failing",
     /// The list answers with what it said `size` seconds ago, index and all.
     ListBack "list-back",
+    /// The list names a server twice, or is cut off, or is no list.
+    ListGarbled "list-garbled",
+    /// Broken or oversized playlists, loads that are no numbers, notes that are none.
+    Garble "garble",
     /// Takes work, answers nothing.
     Hang "hang",
     /// Does the work, and its answers to set-ups are lost.
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -25,6 +25,7 @@
     pub hang: bool,
     pub lose_answers: bool,
     pub stall: bool,
+    pub garble: bool,
 }
 
 /// A server's process.
@@ -53,8 +54,9 @@
 
 /// A running fleet.
 pub struct FleetRun {
-    /// Where the list answers.
+    /// Where the list answers, and the servers of the beginning.
     pub list: SocketAddr,
+    pub servers: Vec<SocketAddr>,
     stop: async_channel::Sender<()>,
     thread: JoinHandle<()>,
 }
@@ -94,7 +96,8 @@
         let served = listener("127.0.0.1:0".parse().expect("an address")).and_then(|listener| {
             let address = listener.get_ref().local_addr().map_err(|it| it.to_string())?;
             list::serve(&nursery, listener, &world);
-            Ok(address)
+            let servers: Vec<SocketAddr> = world.borrow().procs.values().map(|it| it.address).collect();
+            Ok((address, servers))
         });
         let failed = served.is_err();
         _ = ready.send(served);
@@ -113,8 +116,8 @@
             nursery.end();
         }));
     });
-    let list = is_ready.recv().map_err(|it| it.to_string())??;
-    Ok(FleetRun { list, stop, thread })
+    let (list, servers) = is_ready.recv().map_err(|it| it.to_string())??;
+    Ok(FleetRun { list, servers, stop, thread })
 }
 
 pub(crate) fn listener(address: SocketAddr) -> Result<Async<TcpListener>, String> {
@@ -358,6 +361,8 @@
     match fault.kind {
         Kind::ListSilent => world.borrow_mut().book.silent = true,
         Kind::ListFailing => world.borrow_mut().book.failing = true,
+        Kind::ListGarbled => world.borrow_mut().book.garbled = true,
+        Kind::Garble => each(world, &ids, |it| it.ill.garble = true),
         Kind::ListStale => world.borrow_mut().book.behind = fault.size * 1e3,
         Kind::ListBack => world.borrow_mut().book.back = fault.size * 1e3,
         Kind::Hang => each(world, &ids, |it| it.ill.hang = true),
@@ -407,6 +412,8 @@
     match fault.kind {
         Kind::ListSilent => world.borrow_mut().book.silent = false,
         Kind::ListFailing => world.borrow_mut().book.failing = false,
+        Kind::ListGarbled => world.borrow_mut().book.garbled = false,
+        Kind::Garble => each(world, &ids, |it| it.ill.garble = false),
         Kind::ListStale => world.borrow_mut().book.behind = 0.0,
         Kind::ListBack => world.borrow_mut().book.back = 0.0,
         Kind::Hang => each(world, &ids, |it| it.ill.hang = false),
