--- /dev/null
+++ b/bench/src/library.rs
@@ -0,0 +1,191 @@
+//! The front on a fake clock: the cost of a decision, and what is left in memory.
+
+use ottersail_daemon::run::house;
+use ottersail_daemon::settings::manager::{read_manager, Manager};
+use ottersail_front::ids::{Rung, ServerId, ViewingId};
+use ottersail_front::{AskId, Asked, Front, Ms, Orders, Reply, SetUp, SetUpEnd};
+use ottersail_tickets::Keys;
+use ottersail_wire::catalogue::{Listed, Standing, Title};
+use ottersail_wire::notes::Note;
+use ottersail_wire::report::Report;
+use std::path::Path;
+use std::time::Instant;
+
+pub const TITLES: usize = 1000;
+pub const PLAYLIST: &str =
+    "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-TARGETDURATION:2\n#EXT-X-MAP:URI=\"init.mp4\"\n\
+    #EXTINF:2,\ns0.m4s\n#EXTINF:2,\ns1.m4s\n#EXTINF:2,\ns2.m4s\n#EXTINF:2,\ns3.m4s\n#EXTINF:2,\ns4.m4s\n\
+    #EXTINF:2,\ns5.m4s\n#EXTINF:2,\ns6.m4s\n#EXTINF:2,\ns7.m4s\n#EXT-X-ENDLIST\n";
+
+/// Settings of a manager before so many servers, links sized for a held viewing in a thousand.
+pub fn manager(servers: usize, listen: &str, list: &str, link_kb: f64) -> Manager {
+    let text = format!(
+        "[manager]\nnumber = 0\nmanagers = 1\nzone = a\nlisten = {listen}\nkeys = keys\nmost-waiting = 100000\n\
+         most-watches = 1000000\nconnections = 50000\n[list]\naddress = {list}\nservice = streaming\n\
+         wait-ms = 60000\n[servers]\n[ladder]\nrates-kb = 100, 200, 400, 800\nlink-unit-kb = {link_kb}\n\
+         cells = {servers}\nracks = 28\nplaces = k:100000\nseen-after-ms = 800\nreports-every-ms = 3000\n\
+         change-cost-ms = 600\n[rules]\ndrain-grace-ms = 1000\ncold-ms = 0\nstart-capacity = 1\nfall-multiple = 3\n\
+         fall-ms = 1000\nmax-tune-ins = 3\nmax-stay-away-ms = 1000\n\
+         [package clips]\nvalue = 1\njoin-target-ms = 800\nrepeat = safe\n"
+    );
+    read_manager(Path::new("bench"), &text).unwrap_or_else(|it| panic!("{}", it.join("\n")))
+}
+
+pub fn keys() -> Keys {
+    Keys::read("a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA").unwrap_or_else(|it| panic!("{it}"))
+}
+
+pub fn listed(ix: usize, address: String) -> Listed {
+    Listed {
+        id: format!("box-{ix}"),
+        address,
+        standing: Standing::Up,
+        zone: "a".into(),
+        kind: "k".into(),
+        cell: ix as u64,
+        weight: 1.0,
+        started_ms: None,
+    }
+}
+
+pub fn titles(servers: usize) -> Vec<Title> {
+    let title = |it: usize| Title { name: format!("t-{it}"), base: (it * 7 % servers) as u64, copies: 5 };
+    (0..TITLES).map(title).collect()
+}
+
+/// Set-ups that are out, and the viewings let go.
+#[derive(Default)]
+struct Out {
+    set_ups: Vec<(ViewingId, usize)>,
+    let_go: Vec<ViewingId>,
+    steps: Vec<(ViewingId, Rung)>,
+    played: usize,
+    refused: usize,
+}
+
+impl Orders for Out {
+    fn set_up(&mut self, it: &SetUp) {
+        self.set_ups.push((it.vw.clone(), it.no));
+    }
+    fn call_off(&mut self, _: &ViewingId, _: usize, _: &ServerId, _: &str) {}
+    fn change_rung(&mut self, vw: &ViewingId, _: &ServerId, _: &str, rung: Rung) {
+        self.steps.push((vw.clone(), rung));
+    }
+    fn let_go(&mut self, vw: &ViewingId, _: &ServerId, _: &str) {
+        self.let_go.push(vw.clone());
+    }
+    fn reply(&mut self, _: AskId, reply: Reply) {
+        match reply {
+            Reply::Playlist(_) => self.played += 1,
+            _ => self.refused += 1,
+        }
+    }
+    fn listen(&mut self, _: &ServerId, _: &str) {}
+    fn hang_up(&mut self, _: &ServerId) {}
+}
+
+struct Bed {
+    front: Front,
+    out: Out,
+    now: f64,
+    asks: u64,
+}
+
+impl Bed {
+    fn new(servers: usize, link_kb: f64) -> Bed {
+        let manager = manager(servers, "127.0.0.1:1", "127.0.0.1:1", link_kb);
+        let mut out = Out::default();
+        let house = house(&manager, keys());
+        let mut front = Front::new(Ms(1e6), 1, manager.terms, house, &mut out);
+        let list: Vec<Listed> =
+            (0..servers).map(|it| listed(it, format!("127.0.0.1:{}", 1000 + it))).collect();
+        front.titled(Ms(1e6), &titles(servers));
+        front.listed(Ms(1e6), 1, &list, &mut out);
+        Bed { front, out, now: 1e6, asks: 0 }
+    }
+
+    fn set_up(&mut self) {
+        self.asks += 1;
+        let title = format!("t-{}", self.asks as usize * 31 % TITLES);
+        let asked = Asked { title, package: "clips".into(), tenant: None, best: 3, patience: 4000.0 };
+        self.front.asked(Ms(self.now), AskId(self.asks), asked, &mut self.out);
+        while let Some((vw, no)) = self.out.set_ups.pop() {
+            let end = SetUpEnd::Playing { playlist: PLAYLIST.into() };
+            let report = Report { link: Some(0.3), ..Report::default() };
+            self.front.set_up_ended(Ms(self.now), &vw, no, end, report, &mut self.out);
+        }
+        while let Some((vw, rung)) = self.out.steps.pop() {
+            self.front.rung_changed(Ms(self.now), &vw, rung.0, Some(PLAYLIST), &mut self.out);
+        }
+        while let Some(vw) = self.out.let_go.pop() {
+            self.front.let_go(Ms(self.now), &vw, &mut self.out);
+        }
+    }
+}
+
+/// Mean microseconds of a set-up and of a note, with so many viewings held at 280 servers.
+pub fn decision(held: &[usize]) {
+    const SERVERS: usize = 280;
+    const TRIES: usize = 400;
+    println!(
+        "held viewings   set-up us   note us   (280 servers, one manager, {TRIES} each, on a fake clock)"
+    );
+    for held in held {
+        // Links wide enough for all at the middle rate.
+        let mut bed = Bed::new(SERVERS, 500.0 * (*held as f64 / SERVERS as f64).max(4.0));
+        for _ in 0..*held {
+            bed.now += 0.01;
+            bed.set_up();
+        }
+        let began = Instant::now();
+        for _ in 0..TRIES {
+            bed.now += 0.01;
+            bed.set_up();
+        }
+        let set_up = began.elapsed().as_secs_f64() * 1e6 / TRIES as f64;
+        let began = Instant::now();
+        for it in 0..TRIES {
+            bed.now += 0.01;
+            let note = Note::Load(Report { link: Some(0.5), ..Report::default() });
+            let server = ServerId::from(format!("box-{}", it % SERVERS).as_str());
+            bed.front.noted(Ms(bed.now), &server, &note, &mut bed.out);
+        }
+        let note = began.elapsed().as_secs_f64() * 1e6 / TRIES as f64;
+        println!(
+            "{:>13}   {set_up:>9.0}   {note:>7.0}   played {} refused {}",
+            bed.front.viewings(),
+            bed.out.played,
+            bed.out.refused
+        );
+    }
+}
+
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|it| it.starts_with("VmRSS:"));
+    line.and_then(|it| it.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+}
+
+/// Resident memory after so many viewings in all have been set up, have played for a while and have ended.
+pub fn memory(viewings: &[usize]) {
+    let mut bed = Bed::new(280, 100_000.0);
+    println!("viewings ended   resident kB   still held   (280 servers, some 200 at once, on a fake clock)");
+    println!("{:>14}   {:>11}   {:>10}", 0, resident_kb(), 0);
+    for count in viewings {
+        while bed.asks < *count as u64 {
+            bed.now += 60.0;
+            while bed.front.next_due().is_some_and(|it| it.0 <= bed.now) {
+                bed.front.time_has_come(Ms(bed.now), &mut bed.out);
+            }
+            bed.set_up();
+        }
+        for _ in 0..100 {
+            bed.now += 1000.0;
+            bed.front.time_has_come(Ms(bed.now), &mut bed.out);
+            while let Some(vw) = bed.out.let_go.pop() {
+                bed.front.let_go(Ms(bed.now), &vw, &mut bed.out);
+            }
+        }
+        println!("{:>14}   {:>11}   {:>10}", bed.asks, resident_kb(), bed.front.viewings());
+    }
+}
--- /dev/null
+++ b/bench/src/loopback.rs
@@ -0,0 +1,281 @@
+//! One manager on one thread, servers and list on a second, an open-loop load on a third and fourth: arrivals do not
+//! wait for answers, and a time to the answer counts from when the request was due.
+
+use crate::baseline::{RandomPick, Timed};
+use crate::library::{keys, listed, manager, titles, PLAYLIST, TITLES};
+use async_io::{Async, Timer};
+use hdrhistogram::Histogram;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use ottersail_daemon::run::{house, start};
+use ottersail_front::decisions::Decisions;
+use ottersail_front::{Brain, Front, Ms};
+use ottersail_net::{executor, flowing, serve, whole, Body, Client, Clock, Limits, Nursery, Server};
+use ottersail_wire::catalogue::{write_servers, write_titles, INDEX_HEADER};
+use rustix::time::{clock_gettime, ClockId};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+const LIMITS: Limits = Limits { connections: 60_000, head: Duration::from_secs(60) };
+const BOUND_MS: f64 = 50.0;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Pick {
+    Module,
+    Random,
+}
+
+/// What a run at one rate showed.
+struct Shown {
+    rate: f64,
+    times: Histogram<u64>,
+    refused: u64,
+    failed: u64,
+    /// Microseconds a set-up: of the manager's thread in all, in its front, in the decisions.
+    cpu: f64,
+    front: f64,
+    decisions: f64,
+    held: usize,
+}
+
+impl Shown {
+    fn ms(&self, part: f64) -> f64 {
+        self.times.value_at_quantile(part) as f64 / 1e3
+    }
+}
+
+pub fn measure(seconds: f64, servers: usize, from: f64) {
+    println!("one manager on one core, {servers} servers, load and servers on the same machine, {seconds} s a rate");
+    println!("pick     rate/s   p50 ms   p99 ms  p99.9 ms  refused  failed   held   us a set-up: all   front  decisions");
+    for pick in [Pick::Module, Pick::Random] {
+        let mut rate = from;
+        let mut best: Option<f64> = None;
+        loop {
+            let shown = run(pick, rate, seconds, servers);
+            print(pick, &shown);
+            if shown.ms(0.99) > BOUND_MS || shown.failed * 100 > shown.times.len() {
+                break;
+            }
+            best = Some(rate);
+            rate *= 1.5;
+        }
+        match best {
+            None => println!("the first rate is already too much"),
+            Some(best) => {
+                println!("p99 stays within {BOUND_MS} ms up to {best:.0} a second; at half of that:");
+                print(pick, &run(pick, best / 2.0, seconds, servers));
+            }
+        }
+    }
+}
+
+fn print(pick: Pick, it: &Shown) {
+    let name = if pick == Pick::Module { "module" } else { "random" };
+    println!(
+        "{name:<7} {:>7.0} {:>8.2} {:>8.2} {:>9.2} {:>8} {:>7} {:>6} {:>18.0} {:>7.0} {:>10.0}",
+        it.rate,
+        it.ms(0.5),
+        it.ms(0.99),
+        it.ms(0.999),
+        it.refused,
+        it.failed,
+        it.held,
+        it.cpu,
+        it.front,
+        it.decisions
+    );
+}
+
+fn cpu() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+fn run(pick: Pick, rate: f64, seconds: f64, servers: usize) -> Shown {
+    let (ready, is_ready) = mpsc::channel();
+    let (stop_servers, stopped) = mpsc::channel();
+    let fleet = std::thread::spawn(move || fleet(servers, ready, stopped));
+    let list = is_ready.recv().expect("the servers start");
+    let address = TcpListener::bind("127.0.0.1:0").and_then(|it| it.local_addr()).expect("a port");
+    let (stop_manager, stopped) = mpsc::channel();
+    let (told, figures) = mpsc::channel();
+    let managing = std::thread::spawn(move || manage(pick, servers, address, list, stopped, told));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(10) && !load_once(address) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let load: Vec<_> =
+        (0..2).map(|it| std::thread::spawn(move || load(address, rate / 2.0, seconds, it))).collect();
+    let (mut times, mut refused, mut failed) = (histogram(), 0, 0);
+    for thread in load {
+        let (part, r, f) = thread.join().expect("the load ends");
+        times.add(&part).expect("equal bounds");
+        (refused, failed) = (refused + r, failed + f);
+    }
+    drop(stop_manager);
+    let (spent, front, decisions, held, count) = figures.recv().expect("the manager's figures");
+    _ = managing.join();
+    drop(stop_servers);
+    _ = fleet.join();
+    let each = |it: Duration| it.as_secs_f64() * 1e6 / count.max(1) as f64;
+    Shown {
+        rate,
+        times,
+        refused,
+        failed,
+        cpu: each(spent),
+        front: each(front),
+        decisions: each(decisions),
+        held,
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("good bounds")
+}
+
+/// Until the sending half is dropped.
+async fn until(stopped: mpsc::Receiver<()>) {
+    while stopped.try_recv() != Err(mpsc::TryRecvError::Disconnected) {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
+type Figures = (Duration, Duration, Duration, usize, u64);
+
+fn manage(
+    pick: Pick,
+    servers: usize,
+    address: SocketAddr,
+    list: SocketAddr,
+    stopped: mpsc::Receiver<()>,
+    told: mpsc::Sender<Figures>,
+) {
+    let manager = manager(servers, &address.to_string(), &list.to_string(), 2_000_000.0);
+    let clock = Clock::start();
+    let exec = executor();
+    let spent: Rc<Cell<Duration>> = Rc::default();
+    let timed = spent.clone();
+    let front = Front::with(
+        Ms(clock.now()),
+        manager.terms.clone(),
+        house(&manager, keys()),
+        &mut ottersail_daemon::run::NoOrders,
+        move |terms, out| {
+            let of: Box<dyn Decisions> = match pick {
+                Pick::Module => Box::new(Brain::born(Ms(clock.now()), 1, terms, out)),
+                Pick::Random => Box::new(RandomPick::new(terms)),
+            };
+            Box::new(Timed { of, spent: timed })
+        },
+    );
+    let service = start(exec, clock, &manager, keys(), front, None).expect("the manager starts");
+    let before = cpu();
+    async_io::block_on(exec.run(until(stopped)));
+    let hub = &service.hub;
+    let (held, count) = hub.front(|it| (it.viewings(), it.counts().asked));
+    _ = told.send((cpu() - before, hub.spent.get(), spent.get(), held, count));
+}
+
+/// All servers on one thread, each on a socket of its own; and their list.
+fn fleet(servers: usize, ready: mpsc::Sender<SocketAddr>, stopped: mpsc::Receiver<()>) {
+    let exec = executor();
+    let nursery = Nursery::new(exec);
+    let open = || Async::<TcpListener>::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
+    let mut rows = Vec::new();
+    for ix in 0..servers {
+        let listener = open();
+        rows.push(listed(ix, listener.get_ref().local_addr().expect("an address").to_string()));
+        let streams: Rc<RefCell<Vec<_>>> = Rc::default();
+        let handler = move |request: Request<Incoming>, _| {
+            let streams = streams.clone();
+            async move {
+                if request.uri().path() == "/notes" {
+                    let (sender, body) = flowing(4);
+                    _ = sender.try_send(":\n\n".into());
+                    streams.borrow_mut().push(sender);
+                    return Response::new(body);
+                }
+                let mut response: Response<Body> = Response::new(whole(PLAYLIST));
+                if request.method() == Method::PUT {
+                    *response.status_mut() = StatusCode::CREATED;
+                }
+                response
+            }
+        };
+        nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
+    }
+    let listener = open();
+    let address = listener.get_ref().local_addr().expect("an address");
+    let (list, titles) = (write_servers(&rows), write_titles(&titles(servers)));
+    let handler = move |request: Request<Incoming>, _| {
+        let text = if request.uri().path().contains("health") { list.clone() } else { titles.clone() };
+        async move {
+            if request.uri().query().is_some_and(|it| it.contains("index=")) {
+                Timer::after(Duration::from_secs(50)).await;
+            }
+            let mut response = Response::new(whole(text));
+            response.headers_mut().insert(INDEX_HEADER, 1.into());
+            response
+        }
+    };
+    nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
+    _ = ready.send(address);
+    async_io::block_on(exec.run(until(stopped)));
+    nursery.end();
+}
+
+fn load_once(address: SocketAddr) -> bool {
+    let exec = executor();
+    let client = Client::new(exec, Duration::from_millis(200), 0, Duration::ZERO);
+    let to = address.to_string();
+    let ask = client.exchange(&to, Client::request(Method::GET, &to, "/ready"), 1 << 16, || true);
+    async_io::block_on(exec.run(ask)).is_ok_and(|it| it.status == StatusCode::OK)
+}
+
+/// Arrivals by chance at that rate; times from when each was due.
+fn load(address: SocketAddr, rate: f64, seconds: f64, seed: u64) -> (Histogram<u64>, u64, u64) {
+    let exec = executor();
+    let client = Rc::new(Client::new(exec, Duration::from_secs(2), 4096, Duration::from_secs(30)));
+    let shared = Rc::new(RefCell::new((histogram(), 0u64, 0u64)));
+    let out = Rc::new(Cell::new(0usize));
+    let mut rng = fastrand::Rng::with_seed(seed);
+    async_io::block_on(exec.run(async {
+        let began = Instant::now();
+        let mut at = began;
+        while at < began + Duration::from_secs_f64(seconds) {
+            at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
+            if at > Instant::now() {
+                Timer::at(at).await;
+            }
+            let (client, shared, out, due) = (client.clone(), shared.clone(), out.clone(), at);
+            let path = format!("/watch/t-{}?package=clips&best=3&patience-ms=4000", rng.usize(..TITLES));
+            out.set(out.get() + 1);
+            exec.spawn(async move {
+                let to = address.to_string();
+                let answer =
+                    client.exchange(&to, Client::request(Method::GET, &to, &path), 1 << 16, || true).await;
+                let mut it = shared.borrow_mut();
+                match answer {
+                    Ok(answer) => {
+                        it.0.saturating_record(due.elapsed().as_micros() as u64);
+                        it.1 += u64::from(answer.status != StatusCode::OK);
+                    }
+                    Err(_) => it.2 += 1,
+                }
+                out.set(out.get() - 1);
+            })
+            .detach();
+        }
+        let end = Instant::now() + Duration::from_secs(6);
+        while out.get() > 0 && Instant::now() < end {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }));
+    let lost = out.get() as u64;
+    let it = shared.borrow();
+    (it.0.clone(), it.1, it.2 + lost)
+}
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,48 @@
+//! Measures the session manager. Figures hold for the machine that they were taken on; compare within one run.
+
+mod baseline;
+mod library;
+mod loopback;
+
+use clap::{Parser, Subcommand};
+
+/// Measures the session manager.
+#[derive(Parser)]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Set-ups a second of one manager over loopback until p99 of the time to the answer passes 50 ms, with the module
+    /// and with a plain random pick.
+    Loopback {
+        /// Seconds at each rate.
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 280)]
+        servers: usize,
+        /// The first rate tried, set-ups a second.
+        #[arg(long, default_value_t = 400.0)]
+        from: f64,
+    },
+    /// A decision's cost in the library, by viewings held.
+    Decision {
+        #[arg(long, default_values_t = [280, 2_800, 28_000])]
+        held: Vec<usize>,
+    },
+    /// Memory after many viewings were set up and ended, in the library.
+    Memory {
+        #[arg(long, default_values_t = [10_000, 200_000])]
+        viewings: Vec<usize>,
+    },
+}
+
+fn main() {
+    match Line::parse().what {
+        What::Loopback { seconds, servers, from } => loopback::measure(seconds, servers, from),
+        What::Decision { held } => library::decision(&held),
+        What::Memory { viewings } => library::memory(&viewings),
+    }
+}
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -19,7 +19,7 @@
 use std::future::Future;
 use std::io::{BufWriter, Write};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{debug, warn};
 
 /// Ends that are being told to servers; past that many the rest is left to the servers' own leases.
@@ -50,6 +50,8 @@
     pub listed: Cell<bool>,
     pub titled: Cell<bool>,
     pub times: RefCell<Times>,
+    /// Time spent in the front so far.
+    pub spent: Cell<Duration>,
 }
 
 /// Where all that is told and wanted is written down.
@@ -97,6 +99,7 @@
             listed: Cell::new(false),
             titled: Cell::new(false),
             times: RefCell::default(),
+            spent: Cell::default(),
         })
     }
 
@@ -104,6 +107,7 @@
     pub fn tell(self: &Rc<Hub>, told: &Told) {
         let now = self.clock.now().max(self.last.get());
         self.last.set(now);
+        let began = Instant::now();
         let mut front = self.front.borrow_mut();
         let mut tape = self.tape.borrow_mut();
         match tape.as_mut() {
@@ -118,6 +122,7 @@
                 }
             }
         }
+        self.spent.set(self.spent.get() + began.elapsed());
         let due = front.next_due().map_or(f64::INFINITY, |it| it.0);
         if due < self.armed.get() {
             _ = self.rearm.0.try_send(());
@@ -262,7 +267,9 @@
             request.headers_mut().insert("traceparent", trace);
         }
         let in_time = || self.clock.now() <= it.send_by.0;
+        let began = Instant::now();
         let answer = self.client.exchange(&it.address, request, ottersail_hls::MOST_BYTES, in_time).await;
+        self.times.borrow_mut().set_up(began.elapsed());
         let mut load = Report::default();
         let end = match answer {
             Ok(answer) => {
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::time::Duration;
 
 /// Bounds in seconds.
 const BOUNDS: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
@@ -15,11 +16,16 @@
 pub struct Times {
     played: Histogram,
     refused: Histogram,
+    set_up: Histogram,
 }
 
 impl Default for Times {
     fn default() -> Self {
-        Times { played: Histogram::new(BOUNDS), refused: Histogram::new(BOUNDS) }
+        Times {
+            played: Histogram::new(BOUNDS),
+            refused: Histogram::new(BOUNDS),
+            set_up: Histogram::new(BOUNDS),
+        }
     }
 }
 
@@ -28,6 +34,11 @@
         let of = if matches!(reply, Reply::Playlist(_)) { &self.played } else { &self.refused };
         of.observe(ms / 1e3);
     }
+
+    /// A server answered a set-up, or it failed.
+    pub fn set_up(&mut self, took: Duration) {
+        self.set_up.observe(took.as_secs_f64());
+    }
 }
 
 /// The page that is scraped.
@@ -85,6 +96,7 @@
         "Time to the answer, blocked or aborted",
         times.refused.clone(),
     );
+    registry.register("set_up_seconds", "Time a set-up was out at a server", times.set_up.clone());
     let mut text = String::new();
     // Writing to memory can't fail.
     _ = encode(&mut text, &registry);
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -8,8 +8,9 @@
 use futures_lite::StreamExt;
 use ottersail_front::tape::Told;
 use ottersail_front::{Front, House, Ms, Orders};
-use ottersail_net::{executor, serve, Clock, Limits, Nursery, Server};
+use ottersail_net::{executor, serve, Clock, Exec, Limits, Nursery, Server};
 use ottersail_tickets::Keys;
+use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::json;
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
@@ -90,24 +91,11 @@
     let tape =
         record.map(|it| Tape::begin(&it, &header).map_err(|trouble| format!("{}: {trouble}", it.display())));
     let tape = tape.transpose().map_err(|it| vec![it])?;
-    let address: SocketAddr =
-        manager.listen.parse().map_err(|it| vec![format!("{}: {it}", manager.listen)])?;
-    let listener = Async::<TcpListener>::bind(address)
-        .map_err(|it| vec![format!("{address}: {it}; is another one running?")])?;
-
+    raise_files(manager.connections);
     let exec = executor();
-    let limits = Limits { connections: manager.connections, head: HEAD };
-    let hub = Hub::new(exec, clock, manager.clone(), front, tape);
-    let server = Server::new();
-    let service = Rc::new(Service { hub: hub.clone(), keys: RefCell::new(keys), server: server.clone() });
-    let nursery = Nursery::new(exec);
-    exec.spawn(hub.clone().ring()).detach();
-    exec.spawn(hub.clone().follow(true)).detach();
-    exec.spawn(hub.clone().follow(false)).detach();
-    let answering = service.clone();
-    let handler = move |request, _| answering.clone().answer(request);
-    nursery.spawn(serve(nursery.clone(), listener, limits, server, handler));
-    info!(listen = %address, managers = manager.terms.managers, number = manager.terms.me.0, "running");
+    let service = start(exec, clock, &manager, keys, front, tape).map_err(|it| vec![it])?;
+    let hub = service.hub.clone();
+    info!(listen = %manager.listen, managers = manager.terms.managers, number = manager.terms.me.0, "running");
 
     async_io::block_on(exec.run(async {
         let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
@@ -139,6 +127,52 @@
     }))
 }
 
+/// Starts all tasks of a manager on an executor.
+///
+/// # Errors
+/// If its address can't be had.
+pub fn start(
+    exec: Exec,
+    clock: Clock,
+    manager: &Manager,
+    keys: Keys,
+    front: Front,
+    tape: Option<Tape>,
+) -> Result<Rc<Service>, String> {
+    let address: SocketAddr = manager.listen.parse().map_err(|it| format!("{}: {it}", manager.listen))?;
+    let listener = Async::<TcpListener>::bind(address)
+        .map_err(|it| format!("{address}: {it}; is another one running?"))?;
+    let limits = Limits { connections: manager.connections, head: HEAD };
+    let hub = Hub::new(exec, clock, manager.clone(), front, tape);
+    let server = Server::new();
+    let service = Rc::new(Service { hub: hub.clone(), keys: RefCell::new(keys), server: server.clone() });
+    let nursery = Nursery::new(exec);
+    exec.spawn(hub.clone().ring()).detach();
+    exec.spawn(hub.clone().follow(true)).detach();
+    exec.spawn(hub.follow(false)).detach();
+    let answering = service.clone();
+    let handler = move |request, _| answering.clone().answer(request);
+    exec.spawn(serve(nursery, listener, limits, server, handler)).detach();
+    Ok(service)
+}
+
+/// Each connection and each set-up that is out takes a descriptor: asks for as many as may be had.
+fn raise_files(connections: usize) {
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    if let Err(trouble) = setrlimit(Resource::Nofile, limit) {
+        warn!(%trouble, "the limit on open files can't be raised");
+    }
+    let most = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    if most < 2 * connections as u64 {
+        warn!(
+            most,
+            connections,
+            "fewer files may be open than twice the connections: past that, viewings are blocked"
+        );
+    }
+}
+
 /// Takes over what can change while it runs; a file with a mistake changes nothing.
 fn reload(path: &Path, running: &Manager, service: &Service) {
     match read(path) {
--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -1,13 +1,20 @@
 //! A short day, rehearsed, played back and judged; and with a guard taken out.
 
-mod peer;
-
-use peer::{folder, program};
-use std::path::Path;
-use std::process::Output;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 
 const DAY: &str = include_str!("day.ini");
 
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_ottersail"))
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("ottersail-{name}-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
 fn text(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
 }
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -1,3 +1,4 @@
+use crate::decisions::{Decisions, Ended};
 use crate::orders::{AskId, Asked, Orders, Reply, SetUp, SetUpEnd, WatchId};
 use crate::presence;
 use crate::roster::Roster;
@@ -93,7 +94,7 @@
 }
 
 pub struct Front {
-    brain: Brain,
+    brain: Box<dyn Decisions>,
     desk: Desk,
 }
 
@@ -158,7 +159,19 @@
 }
 
 impl Front {
+    /// A front whose decisions are those of this project.
     pub fn new(now: Ms, seed: u64, terms: Terms, house: House, out: &mut dyn Orders) -> Front {
+        Front::with(now, terms, house, out, |terms, out| Box::new(Brain::born(now, seed, terms, out)))
+    }
+
+    /// A front with other decisions, for comparison.
+    pub fn with(
+        now: Ms,
+        terms: Terms,
+        house: House,
+        out: &mut dyn Orders,
+        decisions: impl FnOnce(Terms, &mut dyn Answers) -> Box<dyn Decisions>,
+    ) -> Front {
         let mut desk = Desk {
             now,
             prefix: format!("{}-{:.0}", terms.me.0, now.0),
@@ -179,7 +192,7 @@
             draining: false,
             counts: Counts::default(),
         };
-        let brain = Brain::born(now, seed, terms, &mut Hand { desk: &mut desk, out });
+        let brain = decisions(terms, &mut Hand { desk: &mut desk, out });
         Front { brain, desk }
     }
 
@@ -676,7 +689,8 @@
         seat.place = Place::Waiting;
         let (no, server) = (seat.tune_ins - 1, seat.server.clone());
         debug!(viewing = %vw, server = %server, no, ?outcome, "tune-in failed");
-        brain.answer(now, vw, TuneInNo(no), &server, outcome, false, load, &mut Hand { desk, out });
+        let ended = Ended { no: TuneInNo(no), server, outcome, last: false };
+        brain.answer(now, vw, ended, load, &mut Hand { desk, out });
     }
 
     /// The viewer of a viewing that does not play yet is gone.
@@ -691,8 +705,9 @@
         if seat.place == Place::Out {
             let no = seat.tune_ins - 1;
             out.call_off(vw, no, &seat.server, &seat.address);
-            let (outcome, load) = (Outcome::CalledOff, Load::default());
-            brain.answer(now, vw, TuneInNo(no), &seat.server, outcome, true, load, &mut Hand { desk, out });
+            let ended =
+                Ended { no: TuneInNo(no), server: seat.server, outcome: Outcome::CalledOff, last: true };
+            brain.answer(now, vw, ended, Load::default(), &mut Hand { desk, out });
         }
     }
 
@@ -737,8 +752,9 @@
                 }
             }
         }
-        let (no, load) = (TuneInNo(seat.tune_ins.saturating_sub(1)), Load::default());
-        brain.answer(now, vw, no, &seat.server, outcome, true, load, &mut Hand { desk, out });
+        let no = TuneInNo(seat.tune_ins.saturating_sub(1));
+        let ended = Ended { no, server: seat.server, outcome, last: true };
+        brain.answer(now, vw, ended, Load::default(), &mut Hand { desk, out });
     }
 
     fn break_watch(&mut self, id: &WatchId) {
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! What the front chooses that the module does not lies in files of its own: [`presence`] (when a viewer has left,
 //! how much of patience is the front's), [`roster`] (which list to believe).
 
+pub mod decisions;
 mod front;
 pub mod orders;
 pub mod presence;
@@ -15,7 +16,10 @@
 
 pub use front::{Counts, Front, House};
 pub use orders::{AskId, Asked, Orders, Reply, SetUp, SetUpEnd, WatchId};
+pub use ottersail::answers::Answers;
+pub use ottersail::brain::Brain;
 pub use ottersail::ids;
+pub use ottersail::state;
 pub use ottersail::terms;
 pub use ottersail::time::Ms;
 
