--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -28,64 +28,89 @@
     Random,
 }
 
-/// What a run at one rate showed.
+/// What a run at one rate showed: milliseconds, counts, and microseconds a set-up of the manager's thread in all, in
+/// its front, in the decisions.
+#[derive(Clone, Copy, Debug, Default)]
 struct Shown {
     rate: f64,
-    times: Histogram<u64>,
-    refused: u64,
-    failed: u64,
-    /// Microseconds a set-up: of the manager's thread in all, in its front, in the decisions.
+    p50: f64,
+    p99: f64,
+    p999: f64,
+    refused: f64,
+    failed: f64,
+    answered: f64,
+    held: f64,
     cpu: f64,
     front: f64,
     decisions: f64,
-    held: usize,
 }
 
 impl Shown {
-    fn ms(&self, part: f64) -> f64 {
-        self.times.value_at_quantile(part) as f64 / 1e3
+    fn figures(&self) -> [f64; 11] {
+        let Shown { rate, p50, p99, p999, refused, failed, answered, held, cpu, front, decisions } = *self;
+        [rate, p50, p99, p999, refused, failed, answered, held, cpu, front, decisions]
+    }
+
+    fn of(figures: &[f64]) -> Option<Shown> {
+        let &[rate, p50, p99, p999, refused, failed, answered, held, cpu, front, decisions] = figures else {
+            return None;
+        };
+        Some(Shown { rate, p50, p99, p999, refused, failed, answered, held, cpu, front, decisions })
     }
 }
 
 pub fn measure(seconds: f64, servers: usize, from: f64) {
     println!("one manager on one core, {servers} servers, load and servers on the same machine, {seconds} s a rate");
     println!("pick     rate/s   p50 ms   p99 ms  p99.9 ms  refused  failed   held   us a set-up: all   front  decisions");
-    for pick in [Pick::Module, Pick::Random] {
+    for pick in ["module", "random"] {
         let mut rate = from;
         let mut best: Option<f64> = None;
-        loop {
-            let shown = run(pick, rate, seconds, servers);
+        while let Some(shown) = apart(pick, rate, seconds, servers) {
             print(pick, &shown);
-            if shown.ms(0.99) > BOUND_MS || shown.failed * 100 > shown.times.len() {
+            if shown.p99 > BOUND_MS || shown.failed * 100.0 > shown.answered {
                 break;
             }
             best = Some(rate);
-            rate *= 1.5;
+            rate *= 1.25;
         }
         match best {
             None => println!("the first rate is already too much"),
             Some(best) => {
                 println!("p99 stays within {BOUND_MS} ms up to {best:.0} a second; at half of that:");
-                print(pick, &run(pick, best / 2.0, seconds, servers));
+                if let Some(shown) = apart(pick, best / 2.0, seconds, servers) {
+                    print(pick, &shown);
+                }
             }
         }
     }
 }
 
-fn print(pick: Pick, it: &Shown) {
-    let name = if pick == Pick::Module { "module" } else { "random" };
+/// Each rate in a process of its own, so that none inherits another's sockets or memory.
+fn apart(pick: &str, rate: f64, seconds: f64, servers: usize) -> Option<Shown> {
+    let program = std::env::current_exe().ok()?;
+    let arguments = [pick.to_string(), rate.to_string(), seconds.to_string(), servers.to_string()];
+    let output = std::process::Command::new(program).arg("at-rate").args(arguments).output().ok()?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let figures: Vec<f64> = text.split_whitespace().filter_map(|it| it.parse().ok()).collect();
+    let shown = Shown::of(&figures);
+    if shown.is_none() {
+        eprintln!("{}", String::from_utf8_lossy(&output.stderr));
+    }
+    shown
+}
+
+/// One rate, its figures on standard output.
+pub fn at_rate(pick: &str, rate: f64, seconds: f64, servers: usize) {
+    ottersail_daemon::run::raise_files(0);
+    let pick = if pick == "module" { Pick::Module } else { Pick::Random };
+    let shown = run(pick, rate, seconds, servers);
+    println!("{}", shown.figures().map(|it| it.to_string()).join(" "));
+}
+
+fn print(pick: &str, it: &Shown) {
     println!(
-        "{name:<7} {:>7.0} {:>8.2} {:>8.2} {:>9.2} {:>8} {:>7} {:>6} {:>18.0} {:>7.0} {:>10.0}",
-        it.rate,
-        it.ms(0.5),
-        it.ms(0.99),
-        it.ms(0.999),
-        it.refused,
-        it.failed,
-        it.held,
-        it.cpu,
-        it.front,
-        it.decisions
+        "{pick:<7} {:>7.0} {:>8.2} {:>8.2} {:>9.2} {:>8} {:>7} {:>6} {:>18.0} {:>7.0} {:>10.0}",
+        it.rate, it.p50, it.p99, it.p999, it.refused, it.failed, it.held, it.cpu, it.front, it.decisions
     );
 }
 
@@ -121,15 +146,19 @@
     drop(stop_servers);
     _ = fleet.join();
     let each = |it: Duration| it.as_secs_f64() * 1e6 / count.max(1) as f64;
+    let ms = |part: f64| times.value_at_quantile(part) as f64 / 1e3;
     Shown {
         rate,
-        times,
-        refused,
-        failed,
+        p50: ms(0.5),
+        p99: ms(0.99),
+        p999: ms(0.999),
+        refused: refused as f64,
+        failed: failed as f64,
+        answered: times.len() as f64,
+        held: held as f64,
         cpu: each(spent),
         front: each(front),
         decisions: each(decisions),
-        held,
     }
 }
 
@@ -180,6 +209,8 @@
     _ = told.send((cpu() - before, hub.spent.get(), spent.get(), held, count));
 }
 
+type Sender = async_channel::Sender<bytes::Bytes>;
+
 /// All servers on one thread, each on a socket of its own; and their list.
 fn fleet(servers: usize, ready: mpsc::Sender<SocketAddr>, stopped: mpsc::Receiver<()>) {
     let exec = executor();
@@ -190,6 +221,14 @@
         let listener = open();
         rows.push(listed(ix, listener.get_ref().local_addr().expect("an address").to_string()));
         let streams: Rc<RefCell<Vec<_>>> = Rc::default();
+        let alive = streams.clone();
+        nursery.spawn(async move {
+            loop {
+                Timer::after(Duration::from_secs(1)).await;
+                let sign = |it: &Sender| it.try_send(":\n\n".into()).is_ok();
+                alive.borrow_mut().retain(sign);
+            }
+        });
         let handler = move |request: Request<Incoming>, _| {
             let streams = streams.clone();
             async move {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -27,6 +27,9 @@
         #[arg(long, default_value_t = 400.0)]
         from: f64,
     },
+    /// One rate of `loopback`, for its own use.
+    #[command(hide = true)]
+    AtRate { pick: String, rate: f64, seconds: f64, servers: usize },
     /// A decision's cost in the library, by viewings held.
     Decision {
         #[arg(long, default_values_t = [280, 2_800, 28_000])]
@@ -42,6 +45,7 @@
 fn main() {
     match Line::parse().what {
         What::Loopback { seconds, servers, from } => loopback::measure(seconds, servers, from),
+        What::AtRate { pick, rate, seconds, servers } => loopback::at_rate(&pick, rate, seconds, servers),
         What::Decision { held } => library::decision(&held),
         What::Memory { viewings } => library::memory(&viewings),
     }
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -186,14 +186,7 @@
     managers: &mut [Manager],
     over: &AtomicBool,
 ) {
-    let mut steps: Vec<(f64, bool, &Fault)> = Vec::new();
-    let ours = |it: &&Fault| matches!(it.kind, FaultKind::ManagerKill | FaultKind::ManagerStall);
-    for fault in plan.day.faults.iter().filter(ours) {
-        steps.push((fault.start, true, fault));
-        steps.push((fault.end, false, fault));
-    }
-    steps.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let mut steps = steps.into_iter().peekable();
+    let mut steps = steps_of(plan, managers.len());
     let mut returning: Vec<usize> = Vec::new();
     while !over.load(Ordering::Acquire) {
         std::thread::sleep(Duration::from_millis(10));
@@ -205,41 +198,76 @@
             !ready
         });
         let second = began.elapsed().as_secs_f64();
-        if Instant::now() < began || steps.peek().is_none_or(|it| it.0 > second) {
+        if Instant::now() < began || steps.last().is_none_or(|it| it.second > second) {
             continue;
         }
-        let Some((_, on, fault)) = steps.next() else {
+        let Some(Step { act, manager, name, .. }) = steps.pop() else {
             continue;
         };
-        let count = ((managers.len() as f64 * fault.part).round() as usize).clamp(1, managers.len());
-        // The same ones at the end as at the start.
-        for it in managers.iter_mut().rev().take(count) {
-            let manager = it.number;
-            match (fault.kind, on) {
-                (FaultKind::ManagerKill, true) => {
-                    recorder.note(Event::ManagerKilled { manager });
-                    _ = it.child.kill();
-                    _ = it.child.wait();
-                }
-                (FaultKind::ManagerKill, false) => {
-                    match stage.start(it.number, it.lives) {
-                        Ok(child) => (it.child, it.lives) = (child, it.lives + 1),
-                        Err(trouble) => eprintln!("manager {manager} could not be started again: {trouble}"),
-                    }
-                    returning.push(it.number);
-                }
-                (_, true) => {
-                    recorder.note(Event::ManagerStopped { manager });
-                    signal(&it.child, Signal::STOP);
-                }
-                (_, false) => {
-                    signal(&it.child, Signal::CONT);
-                    recorder.note(Event::ManagerContinued { manager });
+        let it = &mut managers[manager];
+        match act {
+            Act::Kill => {
+                recorder.note(Event::ManagerKilled { manager });
+                _ = it.child.kill();
+                _ = it.child.wait();
+            }
+            Act::Start => {
+                match stage.start(manager, it.lives) {
+                    Ok(child) => (it.child, it.lives) = (child, it.lives + 1),
+                    Err(trouble) => eprintln!("manager {manager} could not be started again: {trouble}"),
                 }
+                returning.push(manager);
+            }
+            Act::Stop => {
+                recorder.note(Event::ManagerStopped { manager });
+                signal(&it.child, Signal::STOP);
             }
+            Act::GoOn => {
+                signal(&it.child, Signal::CONT);
+                recorder.note(Event::ManagerContinued { manager });
+            }
+        }
+        let on = matches!(act, Act::Kill | Act::Stop);
+        recorder.note(Event::Fault { name, on, what: format!("manager {manager}") });
+    }
+}
+
+enum Act {
+    Kill,
+    Start,
+    Stop,
+    GoOn,
+}
+
+struct Step {
+    second: f64,
+    act: Act,
+    manager: usize,
+    name: String,
+}
+
+/// What is done to managers, the last first.
+fn steps_of(plan: &Plan, managers: usize) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for fault in &plan.day.faults {
+        let count = ((managers as f64 * fault.part).round() as usize).clamp(1, managers);
+        let gap = (fault.end - fault.start) / count as f64;
+        for (ix, manager) in (0..managers).rev().take(count).enumerate() {
+            let Fault { start, end, size, .. } = *fault;
+            let late = start + gap * ix as f64;
+            let (from, to, first, then) = match fault.kind {
+                FaultKind::ManagerKill => (start, end, Act::Kill, Act::Start),
+                FaultKind::ManagerRoll => (late, late + size, Act::Kill, Act::Start),
+                FaultKind::ManagerStall => (start, end, Act::Stop, Act::GoOn),
+                _ => continue,
+            };
+            let name = &fault.name;
+            steps.push(Step { second: from, act: first, manager, name: name.clone() });
+            steps.push(Step { second: to, act: then, manager, name: name.clone() });
         }
-        recorder.note(Event::Fault { name: fault.name.clone(), on, what: format!("{count} managers") });
     }
+    steps.sort_by(|a, b| b.second.total_cmp(&a.second));
+    steps
 }
 
 fn signal(child: &Child, signal: Signal) {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -157,7 +157,7 @@
 }
 
 /// Each connection and each set-up that is out takes a descriptor: asks for as many as may be had.
-fn raise_files(connections: usize) {
+pub fn raise_files(connections: usize) {
     let mut limit = getrlimit(Resource::Nofile);
     limit.current = limit.maximum;
     if let Err(trouble) = setrlimit(Resource::Nofile, limit) {
--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -252,6 +252,24 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Any text is read, and every complaint names a line that the text has.
+        #[test]
+        fn any_text_is_read_without_harm(text in "(\\[?[a-c ]{0,4}\\]?(=[0-9a-z.,:-]{0,6})?\n){0,12}\\PC{0,20}") {
+            let sheet = Sheet::read("f", &text);
+            let a = sheet.section("a");
+            a.numbers("b", 0.0..=9.0);
+            a.pairs("c", 0.0..=9.0);
+            a.whole("a", 0..=9);
+            let lines = text.lines().count();
+            for complaint in sheet.complaints() {
+                let line = complaint.split(':').nth(1).and_then(|it| it.parse::<usize>().ok());
+                prop_assert!(line.is_none_or(|it| it >= 1 && it <= lines.max(1)), "{} of {}", complaint, lines);
+            }
+        }
+    }
 
     #[test]
     fn all_that_is_wrong_is_told_at_once_with_its_line() {
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -117,7 +117,9 @@
     asks: BTreeMap<AskId, WatchId>,
     /// Viewings that play or end at a server; its notes are listened to while there are any.
     there: BTreeMap<ServerId, BTreeSet<ViewingId>>,
-    sources: BTreeMap<(String, usize), Weak<Source>>,
+    /// By title and rung: the text, and what was read from it while anybody plays it.
+    sources: BTreeMap<(String, usize), (Vec<u8>, Weak<Source>)>,
+    sweep_sources_at: usize,
     draining: bool,
     counts: Counts,
 }
@@ -189,6 +191,7 @@
             asks: BTreeMap::new(),
             there: BTreeMap::new(),
             sources: BTreeMap::new(),
+            sweep_sources_at: 64,
             draining: false,
             counts: Counts::default(),
         };
@@ -775,15 +778,19 @@
             || self.watches.len() >= self.house.most_watches
     }
 
-    /// The same playlist is kept once, however many viewings play it.
+    /// The same playlist is read and kept once, however many viewings play it.
     fn source(&mut self, key: (String, usize), text: &[u8]) -> Result<Rc<Source>, ottersail_hls::Trouble> {
-        let source = read_source(text)?;
-        if let Some(known) = self.sources.get(&key).and_then(Weak::upgrade).filter(|it| **it == source) {
-            return Ok(known);
+        if let Some((known, source)) = self.sources.get(&key) {
+            if let Some(source) = source.upgrade().filter(|_| known == text) {
+                return Ok(source);
+            }
+        }
+        let source = Rc::new(read_source(text)?);
+        if self.sources.len() >= self.sweep_sources_at {
+            self.sources.retain(|_, it| it.1.strong_count() > 0);
+            self.sweep_sources_at = (self.sources.len() * 2).max(64);
         }
-        let source = Rc::new(source);
-        self.sources.retain(|_, it| it.strong_count() > 0);
-        self.sources.insert(key, Rc::downgrade(&source));
+        self.sources.insert(key, (text.to_vec(), Rc::downgrade(&source)));
         Ok(source)
     }
 
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -127,6 +127,8 @@
     Forgers "forgers",
     /// Killed outright, started again at the end.
     ManagerKill "manager-kill",
+    /// One after the other from start to end, each killed and down for `size` seconds.
+    ManagerRoll "manager-roll",
     /// Stopped, and at the end everything comes at once.
     ManagerStall "manager-stall",
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -342,6 +342,7 @@
             | Kind::Nonsense
             | Kind::Forgers
             | Kind::ManagerKill
+            | Kind::ManagerRoll
             | Kind::ManagerStall
     );
     if !ours {
