--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -108,7 +108,9 @@
     ladder_kb: Vec<f64>,
     stay_away: Option<Ms>,
     timers: Timers<Alarm>,
-    titles: BTreeMap<String, Title>,
+    /// None until they were told for the first time: then nothing is taken, since nothing is known to be unknown.
+    /// Found by rehearsals in which a manager that had just started answered 404.
+    titles: Option<BTreeMap<String, Title>>,
     roster: Roster,
     addresses: BTreeMap<ServerId, String>,
     watches: BTreeMap<WatchId, Watch>,
@@ -183,7 +185,7 @@
             stay_away: terms.max_stay_away,
             house,
             timers: Timers::new(),
-            titles: BTreeMap::new(),
+            titles: None,
             roster: Roster::default(),
             addresses: BTreeMap::new(),
             watches: BTreeMap::new(),
@@ -207,14 +209,10 @@
         if desk.full() {
             desk.counts.turned_away_untaken += 1;
             let stay_away = desk.stay_away.map(|it| it.0);
-            info!(
-                ask = ask.0,
-                cause = if desk.draining { "draining" } else { "queue full" },
-                "turned away untaken"
-            );
+            info!(ask = ask.0, cause = desk.why_full(), "turned away untaken");
             return out.reply(ask, Reply::Blocked { stay_away });
         }
-        if !desk.titles.contains_key(&asked.title) {
+        if desk.title(&asked.title).is_none() {
             return out.reply(ask, Reply::Unknown(format!("no title {:?}", asked.title)));
         }
         let Some(package) = self.brain.package_named(&asked.package) else {
@@ -517,7 +515,7 @@
     /// The titles that can be asked for, all of them.
     pub fn titled(&mut self, now: Ms, titles: &[Title]) {
         let desk = self.at(now);
-        desk.titles = titles.iter().map(|it| (it.name.clone(), it.clone())).collect();
+        desk.titles = Some(titles.iter().map(|it| (it.name.clone(), it.clone())).collect());
     }
 
     /// Carries out all that is due; see [`Front::next_due`].
@@ -603,7 +601,7 @@
         watch.viewings += 1;
         let vw = ViewingId::from(format!("{id}.{}", watch.viewings).as_str());
         watch.stage = Stage::Waiting { vw: vw.clone(), asks: vec![ask] };
-        let Some(title) = desk.titles.get(&watch.asked.title) else {
+        let Some(title) = desk.titles.as_ref().and_then(|it| it.get(&watch.asked.title)) else {
             // The title was taken from the list since.
             desk.forget(&id);
             return out.reply(ask, Reply::Unknown("the title is gone".into()));
@@ -774,10 +772,23 @@
 impl Desk {
     fn full(&self) -> bool {
         self.draining
+            || self.titles.is_none()
             || self.asks.len() >= self.house.most_waiting
             || self.watches.len() >= self.house.most_watches
     }
 
+    fn why_full(&self) -> &'static str {
+        match () {
+            () if self.draining => "draining",
+            () if self.titles.is_none() => "no titles yet",
+            () => "queue full",
+        }
+    }
+
+    fn title(&self, name: &str) -> Option<&Title> {
+        self.titles.as_ref()?.get(name)
+    }
+
     /// The same playlist is read and kept once, however many viewings play it.
     fn source(&mut self, key: (String, usize), text: &[u8]) -> Result<Rc<Source>, ottersail_hls::Trouble> {
         if let Some((known, source)) = self.sources.get(&key) {
--- a/front/src/tests.rs
+++ b/front/src/tests.rs
@@ -77,6 +77,10 @@
 
 impl Stage {
     fn new() -> Stage {
+        Stage::untold().told()
+    }
+
+    fn untold() -> Stage {
         let house = House {
             url: "http://m".into(),
             keys: Keys::read("k AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA").unwrap(),
@@ -89,7 +93,11 @@
         let mut said = Vec::new();
         let out = &mut Scribe { lines: &mut said, out: None };
         let front = Front::new(Ms(START), 7, terms(), house, out);
-        let mut stage = Stage { front, now: START, said, asks: 0 };
+        Stage { front, now: START, said, asks: 0 }
+    }
+
+    fn told(self) -> Stage {
+        let mut stage = self;
         stage.does(|front, now, out| {
             let title = |name: &str| Title { name: name.into(), base: 0, copies: 3 };
             front.titled(now, &[title("t"), title("u")]);
@@ -329,6 +337,14 @@
     assert_eq!(stage.front.waiting(), 0);
 }
 
+#[test]
+fn until_titles_are_told_nothing_is_taken_or_called_unknown() {
+    let mut stage = Stage::untold();
+    assert!(has(&stage.asks("clips"), "reply 1 Blocked { stay_away: Some(1000.0) }"));
+    let mut stage = stage.told();
+    assert_eq!(all_set_ups(&stage.asks("clips")).len(), 1);
+}
+
 #[test]
 fn a_full_queue_turns_away_what_it_has_not_taken() {
     let mut stage = Stage::new();
