A decision's cost no longer grows with what is held: counts kept as things change

A set-up cost 70 us at 680 held viewings and 195 at 28,400, since the split, its bound, seats and notes went through all of them. src/census.rs keeps counts by package, request, rung and share, an order for who goes next, seats by title and means of notes; those alike move at once by bisection. Rules, names and order stay. A property test holds all of it against a plain form written out in the tests, over random histories.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,8 @@
 //! src/terms.rs. docs/design.md says where each rule comes from, docs/on-call.md what is seen in trouble.
 
 use crate::answers::Answers;
-use crate::ids::{BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
+use crate::census::{Asker, Counted, RecentMean};
+use crate::ids::{BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TitleId, TuneInNo, ViewingId};
 use crate::state::{
     Availability, Entry, ListMode, Load, Outcome, Own, Phase, Seen, Server, Topic, TuneIn, Uplink, Viewing,
     Wish,
@@ -12,7 +13,7 @@
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Normal point of the root margin, for held counts.
 const PHI: f64 = 0.1;
@@ -69,15 +70,6 @@
     }
 }
 
-/// A viewing's part in the split of a server.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Asker {
-    package: PackageIx,
-    best: Rung,
-    rung: Rung,
-    over_share: bool,
-}
-
 pub struct Brain {
     terms: Terms,
     now: Ms,
@@ -86,16 +78,21 @@
     unsure_until: Ms,
     servers: BTreeMap<ServerId, Server>,
     cells: BTreeMap<Cell, BTreeSet<ServerId>>,
-    /// Servers where this manager holds a viewing or sets one up.
-    held_at: BTreeSet<ServerId>,
+    /// Servers where this manager holds a viewing or sets one up, by when they are weighed.
+    held_at: BTreeSet<(Ms, ServerId)>,
     uplinks: BTreeMap<Rack, Uplink>,
     own: Own,
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
     waiting: BTreeSet<(Ms, ViewingId)>,
     arrivals: Vec<DecayingSum>,
-    taken: Vec<Ms>,
-    further: Vec<Ms>,
+    taken: VecDeque<Ms>,
+    further: VecDeque<Ms>,
+    /// Viewings held or set up, by title and package.
+    seated: BTreeMap<(TitleId, PackageIx), usize>,
+    /// What was lately noted of links and of uplinks, of servers where a viewing is held.
+    links: RecentMean<ServerId>,
+    shared: RecentMean<Rack>,
     bell_at: Option<Ms>,
     /// Mean parts of links and of uplinks that are asked, where they are known.
     usual_link: f64,
@@ -119,8 +116,11 @@
             viewings: BTreeMap::new(),
             waiting: BTreeSet::new(),
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
-            taken: Vec::new(),
-            further: Vec::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            seated: BTreeMap::new(),
+            links: RecentMean::default(),
+            shared: RecentMean::default(),
             bell_at: None,
             usual_link: FILL,
             usual_uplink: FILL,
@@ -165,9 +165,10 @@
     pub fn incoming(&mut self, now: Ms, wish: Wish, out: &mut dyn Answers) {
         self.now = now;
         let span = self.terms.budget.map_or(Ms(0.0), |it| it.span);
-        self.taken.retain(|at| now - *at <= span);
-        self.further.retain(|at| now - *at <= span);
-        self.taken.push(now);
+        for times in [&mut self.taken, &mut self.further] {
+            times.drain(..times.partition_point(|at| now - *at > span));
+        }
+        self.taken.push_back(now);
         out.schedule(BellTag(1), wish.due);
         self.take(wish, Phase::Waiting, Vec::new());
         self.settle(out);
@@ -309,7 +310,7 @@
         out.relay(&vw, &server, self.time_out(&viewing, others));
         let now = self.now;
         if !viewing.tune_ins.is_empty() {
-            self.further.push(now);
+            self.further.push_back(now);
         }
         if let Some(server) = self.servers.get_mut(&server) {
             server.sent.retain(|at| now - *at <= self.terms.cold.fall_window);
@@ -338,8 +339,7 @@
     /// is this manager's is made with that chance: one lot is drawn for each note, so that all managers
     /// together change by what the note asks.
     fn step(&mut self, out: &mut dyn Answers) -> bool {
-        let due = |id: &&ServerId| self.servers.get(*id).is_some_and(|it| it.look_at <= self.now);
-        let Some(id) = self.held_at.iter().find(due).cloned() else {
+        let Some(id) = self.held_at.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone()) else {
             return false;
         };
         let (now, next) = (self.now, self.now + self.beat());
@@ -348,51 +348,50 @@
             // Notes stay out: what is usual elsewhere stands in for them, and shortage would still be told.
             self.draw_lot(&id, now, Ms(0.0));
         }
-        let (names, held): (Vec<ViewingId>, Vec<Asker>) = self.askers(&id).into_iter().unzip();
-        let playing = |ix: &usize| self.viewings[&names[*ix]].phase == Phase::Playing;
-        let (lot, asks) = (self.servers[&id].lot, self.bound(&held));
+        let it = &self.servers[&id];
+        let (lot, held) = (it.lot, it.census.counts());
+        let asks = self.bound(&held);
         let broken = asks > self.capacity(&id, DOWN_FILL);
-        let settled = now - self.servers[&id].unsettled_at
-            >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
+        let settled = now - it.unsettled_at >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
         // Alone at a server a manager can't see who is at the top rung there: its other viewings tell.
-        let above = asks / held.len() as f64 / (self.own.0 / self.own.1);
-        let mut after = held.clone();
+        let above = asks / it.own.1 / (self.own.0 / self.own.1);
         let changed = if broken {
-            let may = |ix: &usize| held[*ix].rung > self.terms.packages[held[*ix].package.0].floor;
-            let top = (0..held.len()).filter(playing).filter(may);
-            let top = top.max_by(|a, b| self.goes_down(&held[*a], &held[*b]));
+            let may = |it: &(Asker, &ViewingId)| it.0.rung > self.terms.packages[it.0.package.0].floor;
+            let top = it.census.playing().filter(may).max_by(|a, b| self.goes_down(&a.0, &b.0));
             let short = asks - self.capacity(&id, EASED);
-            let part = |ix: &usize| {
-                after[*ix].rung.0 -= 1;
-                short * above >= lot * (asks - self.bound(&after))
+            let part = |it: &(Asker, &ViewingId)| {
+                let less = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 - 1));
+                short * above >= lot * (asks - less)
             };
-            top.filter(part).map(|ix| (ix, held[ix].rung.0 - 1))
+            top.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 - 1))
         } else if settled {
-            let low = (0..held.len()).filter(playing).filter(|ix| held[*ix].rung < held[*ix].best);
-            let low = low.max_by(|a, b| self.goes_up(&held[*a], &held[*b]));
+            let low = it.census.playing().filter(|it| it.0.rung < it.0.best);
+            let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0));
             let room = self.capacity(&id, UP_FILL) - asks;
             let free = self.free_kb(&id, UP_FILL);
-            let part = |ix: &usize| {
-                after[*ix].rung.0 += 1;
-                let step = self.bound(&after) - asks;
+            let part = |it: &(Asker, &ViewingId)| {
+                let step = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 + 1)) - asks;
                 let root = ((DRAWN_PHI * DRAWN_PHI + 4.0 * free / step).max(0.0).sqrt() - DRAWN_PHI) / 2.0;
                 free >= step && room * (root * root * step / free) >= lot * step * above
             };
-            low.filter(part).map(|ix| (ix, held[ix].rung.0 + 1))
+            low.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 + 1))
         } else {
             None
         };
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.unsettled_at = if broken { now } else { server.unsettled_at };
-            server.look_at = match changed {
+        self.look(
+            &id,
+            match changed {
                 Some(_) if broken => next,
                 Some(_) => now + self.terms.reports_every * UP_PACE,
                 None => now + silence,
-            };
+            },
+        );
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.unsettled_at = if broken { now } else { server.unsettled_at };
         }
-        if let Some((ix, rung)) = changed {
-            out.step_to(&names[ix], Rung(rung));
-            self.amend(&names[ix], |it| it.rung = Rung(rung));
+        if let Some((vw, rung)) = changed {
+            out.step_to(&vw, Rung(rung));
+            self.amend(&vw, |it| it.rung = Rung(rung));
         }
         true
     }
@@ -421,14 +420,19 @@
             server.cold_until = server.cold_until.max(cold_until);
             server.shunned_until = Ms::LONG_AGO;
             server.seen = None;
+            self.links.forget(&entry.server);
+        }
+        let before = std::mem::replace(&mut server.entry, entry.clone());
+        let (cell, rack) = (self.cell(before.cell.0), self.rack_of(before.cell));
+        self.cells.entry(cell).or_default().remove(&entry.server);
+        self.uplinks.entry(rack).or_default().servers.remove(&entry.server);
+        self.cells.entry(self.cell(entry.cell.0)).or_default().insert(entry.server.clone());
+        let next = self.rack_of(entry.cell);
+        self.uplinks.entry(next).or_default().servers.insert(entry.server.clone());
+        if !self.servers[&entry.server].census.is_empty() {
+            self.shared.weigh(&rack, -1.0);
+            self.shared.weigh(&next, 1.0);
         }
-        server.entry = entry.clone();
-        let (cell, rack) = (self.cell(entry.cell.0), self.rack(&self.servers[&entry.server]));
-        self.cells.iter_mut().filter(|it| *it.0 != cell).for_each(|it| _ = it.1.remove(&entry.server));
-        self.cells.entry(cell).or_default().insert(entry.server.clone());
-        let others = self.uplinks.iter_mut().filter(|it| *it.0 != rack);
-        others.for_each(|it| _ = it.1.servers.remove(&entry.server));
-        self.uplinks.entry(rack).or_default().servers.insert(entry.server.clone());
     }
 
     fn cell(&self, number: u64) -> Cell {
@@ -477,28 +481,52 @@
 
     fn count(&mut self, viewing: &Viewing, sign: f64) {
         let rate = self.rate(viewing.wish.package, viewing.rung) * sign;
-        let (now, keep) = (self.now, self.terms.seen_after * 2.0);
+        let (now, keep, asker) = (self.now, self.terms.seen_after * 2.0, self.asker(viewing));
+        if viewing.out() {
+            let seated = self.seated.entry((viewing.wish.title.clone(), viewing.wish.package)).or_default();
+            *seated = if sign > 0.0 { *seated + 1 } else { seated.saturating_sub(1) };
+            if *seated == 0 {
+                self.seated.remove(&(viewing.wish.title.clone(), viewing.wish.package));
+            }
+        }
         let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) else {
             return;
         };
+        let (id, was_empty) = (server.entry.server.clone(), server.census.is_empty());
         if sign > 0.0 {
-            server.held.insert(viewing.wish.vw.clone());
-            self.held_at.insert(server.entry.server.clone());
+            server.census.add(asker, &viewing.wish.vw, viewing.phase == Phase::Playing);
         } else {
-            server.held.remove(&viewing.wish.vw);
-        }
-        if server.held.is_empty() {
-            self.held_at.remove(&server.entry.server);
+            server.census.remove(asker, &viewing.wish.vw);
         }
         server.own = added(server.own, (rate, sign));
-        server.ledger.retain(|it| now - it.0 <= keep);
-        server.ledger.push((now, (rate, sign)));
+        server.ledger.drain(..server.ledger.partition_point(|it| now - it.0 > keep));
+        server.ledger.push_back((now, (rate, sign)));
+        let (look_at, is_empty) = (server.look_at, server.census.is_empty());
         let rack = Rack(server.entry.cell.0 % self.terms.racks.max(1));
+        if was_empty != is_empty {
+            self.links.weigh(&id, if is_empty { -1.0 } else { 1.0 });
+            self.shared.weigh(&rack, if is_empty { -1.0 } else { 1.0 });
+            if is_empty {
+                self.held_at.remove(&(look_at, id));
+            } else {
+                self.held_at.insert((look_at, id));
+            }
+        }
         let uplink = self.uplinks.entry(rack).or_default();
         uplink.own = added(uplink.own, (rate, sign));
         self.own = added(self.own, (rate, sign));
     }
 
+    /// A server is weighed at that time, while anything is held there.
+    fn look(&mut self, id: &ServerId, at: Ms) {
+        if let Some(server) = self.servers.get_mut(id) {
+            if self.held_at.remove(&(server.look_at, id.clone())) {
+                self.held_at.insert((at, id.clone()));
+            }
+            server.look_at = at;
+        }
+    }
+
     fn waiting_now(&self) -> Option<ViewingId> {
         self.waiting.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone())
     }
@@ -541,8 +569,9 @@
         }
         let safe = self.package(viewing).repeat != Repeat::AtMostOnce || never_ran(viewing);
         let within = self.terms.budget.is_none_or(|budget| {
-            let recent =
-                |times: &[Ms]| times.iter().filter(|at| self.now - **at < budget.span).count() as f64;
+            let recent = |times: &VecDeque<Ms>| {
+                (times.len() - times.partition_point(|at| self.now - *at >= budget.span)) as f64
+            };
             recent(&self.further) + 1.0 <= budget.free + budget.ratio * recent(&self.taken)
         });
         safe && within && count < self.terms.max_tune_ins
@@ -563,10 +592,8 @@
     /// Rule 5: seats, set-ups included.
     fn seat_free(&self, viewing: &Viewing) -> bool {
         let seats = self.package(viewing).seats;
-        let same = |it: &&Viewing| {
-            it.out() && it.wish.title == viewing.wish.title && it.wish.package == viewing.wish.package
-        };
-        seats == 0 || self.viewings.values().filter(same).count() < seats
+        let of = (viewing.wish.title.clone(), viewing.wish.package);
+        seats == 0 || self.seated.get(&of).is_none_or(|it| *it < seats)
     }
 
     /// Holders that may get this viewing now; those not tried yet, where there are any.
@@ -679,17 +706,11 @@
         Asker { package, best, rung, over_share }
     }
 
-    /// The viewings that a server holds or sets up for this manager.
-    fn askers(&self, server: &ServerId) -> Vec<(ViewingId, Asker)> {
-        let held = self.servers.get(server).into_iter().flat_map(|it| &it.held);
-        held.map(|vw| (vw.clone(), self.asker(&self.viewings[vw]))).collect()
-    }
-
     /// Summed over rungs: rate x (count + phi x root of count).
-    fn bound(&self, askers: &[Asker]) -> f64 {
+    fn bound(&self, askers: &[Counted]) -> f64 {
         let mut counts: BTreeMap<(PackageIx, Rung), f64> = BTreeMap::new();
-        for asker in askers {
-            *counts.entry((asker.package, asker.rung)).or_default() += 1.0;
+        for (asker, n) in askers {
+            *counts.entry((asker.package, asker.rung)).or_default() += n;
         }
         counts.iter().map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
     }
@@ -710,47 +731,63 @@
         low.then(value(a).total_cmp(&value(b)))
     }
 
-    /// The design's split: those who go down first move a rung, one at a time, until the bound holds. The last
+    /// The design's split: those who go down first move a rung, one at a time, until the bound holds; those alike
+    /// at once, since the bound over their number is concave: once it holds, it holds for more of them. The last
     /// one moves only if what is still over is more than the lot's part of its step.
-    fn split(&self, askers: &mut [Asker], capacity: f64, lot: f64) {
-        for asker in askers.iter_mut() {
-            asker.rung = asker.best;
+    fn split(&self, askers: &[Counted], capacity: f64, lot: f64) -> Vec<Counted> {
+        let mut split: Vec<Counted> = Vec::new();
+        for (asker, n) in askers {
+            let asker = Asker { rung: asker.best, ..*asker };
+            match split.iter_mut().find(|it| it.0 == asker) {
+                Some(same) => same.1 += n,
+                None => split.push((asker, *n)),
+            }
         }
-        let mut asks = self.bound(askers);
-        while asks > capacity {
-            let movable = (0..askers.len())
-                .filter(|ix| askers[*ix].rung > self.terms.packages[askers[*ix].package.0].floor);
-            let Some(ix) = movable.max_by(|a, b| self.goes_down(&askers[*a], &askers[*b])) else {
-                return;
+        while self.bound(&split) > capacity {
+            let movable = split.iter().filter(|it| it.0.rung > self.terms.packages[it.0.package.0].floor);
+            let Some((asker, n)) = movable.max_by(|a, b| self.goes_down(&a.0, &b.0)).copied() else {
+                return split;
             };
-            askers[ix].rung.0 -= 1;
-            let less = self.bound(askers);
-            if asks - capacity < lot * (asks - less) {
-                askers[ix].rung.0 += 1;
-                return;
+            let after = |count: f64| self.bound(&moved(&split, asker, count, asker.rung.0 - 1));
+            let (mut breaks, mut holds) = (0.0, n);
+            while after(n) <= capacity && holds - breaks > 1.0 {
+                let middle = ((breaks + holds) / 2.0_f64).floor();
+                *(if after(middle) > capacity { &mut breaks } else { &mut holds }) = middle;
+            }
+            let (asks, less) = (after(holds - 1.0), after(holds));
+            let last = less <= capacity && asks - capacity < lot * (asks - less);
+            split = moved(&split, asker, if last { holds - 1.0 } else { holds }, asker.rung.0 - 1);
+            if last {
+                return split;
             }
-            asks = less;
         }
+        split
     }
 
     /// A new viewing's rung, drawn by the shares of those who ask for the same at the server.
     fn draw(&mut self, viewing: &Viewing, server: &ServerId) -> Rung {
         let mine = self.asker(viewing);
-        let mut askers: Vec<Asker> = self.askers(server).into_iter().map(|it| it.1).collect();
-        askers.push(mine);
         let it = &self.servers[server];
-        let (uplink, n) = (self.uplink_of(it), askers.len() as f64);
+        let mut askers = it.census.counts();
+        askers.push((mine, 1.0));
+        let (uplink, n) = (self.uplink_of(it), it.own.1 + 1.0);
         let link = self.claim(self.link_kb(it), self.link_seen(it), n, FILL);
         let all = uplink.own.1 + 1.0;
         let part = link.min(self.uplink_claim(self.uplink_seen(uplink), all, FILL) * n / all);
         // In a crowd others do not step down in time: a newcomer asks for no more than is free now.
         let capacity = part.min(it.own.0 + self.free_kb(server, EASED).max(0.0));
         let lot = self.chance.part();
-        self.split(&mut askers, capacity, lot);
-        let same =
-            |it: &&Asker| (it.package, it.best, it.over_share) == (mine.package, mine.best, mine.over_share);
-        let rungs: Vec<Rung> = askers.iter().filter(same).map(|it| it.rung).collect();
-        rungs[self.chance.below(rungs.len())]
+        let split = self.split(&askers, capacity, lot);
+        let same = |it: &&Counted| {
+            (it.0.package, it.0.best, it.0.over_share) == (mine.package, mine.best, mine.over_share)
+        };
+        let count: f64 = split.iter().filter(same).map(|it| it.1).sum();
+        let mut drawn = self.chance.below(count as usize) as f64;
+        let rung = split.iter().filter(same).find(|it| {
+            drawn -= it.1;
+            drawn < 0.0
+        });
+        rung.map_or(mine.best, |it| it.0.rung)
     }
 
     /// False if even the lowest rung for all who are there breaks a bound.
@@ -773,7 +810,11 @@
     }
 
     fn rack(&self, server: &Server) -> Rack {
-        Rack(server.entry.cell.0 % self.terms.racks.max(1))
+        self.rack_of(server.entry.cell)
+    }
+
+    fn rack_of(&self, cell: Cell) -> Rack {
+        Rack(cell.0 % self.terms.racks.max(1))
     }
 
     fn link_kb(&self, server: &Server) -> f64 {
@@ -808,13 +849,12 @@
     }
 
     fn fresh(&self, seen: Option<Seen>) -> Option<Seen> {
-        seen.filter(|it| self.now - it.at < self.note_gap() * STALE + self.terms.seen_after)
+        seen.filter(|it| it.at > self.fresh_from())
     }
 
-    fn mean_asked(&self, seen: impl Iterator<Item = Option<Seen>>) -> Option<f64> {
-        let known = seen.filter_map(|it| self.fresh(it));
-        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), it| (sum + it.asked, n + 1.0));
-        (n > 0.0).then_some(sum / n)
+    /// What was noted after this counts as known.
+    fn fresh_from(&self) -> Ms {
+        self.now - (self.note_gap() * STALE + self.terms.seen_after)
     }
 
     /// The last note on a link; without one, the other managers' part is as elsewhere.
@@ -910,10 +950,12 @@
     fn draw_lot(&mut self, server: &ServerId, at: Ms, smoothing: Ms) {
         let (lot, next) = (self.chance.part(), self.now + self.beat());
         if let Some(it) = self.servers.get_mut(server) {
+            let sooner = it.look_at.min(next);
             if it.lot_at + smoothing <= at {
-                (it.lot, it.lot_at, it.look_at) = (lot, self.now, next);
+                (it.lot, it.lot_at) = (lot, self.now);
+                self.look(server, next);
             } else if at < it.lot_at {
-                it.look_at = it.look_at.min(next);
+                self.look(server, sooner);
             }
         }
     }
@@ -924,9 +966,9 @@
         };
         if it.seen.is_none_or(|it| it.at <= at) {
             it.seen = Some(Seen { asked, own: it.own_at(at), at });
+            self.links.note(server, at, asked);
         }
-        let links = self.held_at.iter().map(|id| self.servers[id].seen);
-        self.usual_link = self.mean_asked(links).unwrap_or(asked);
+        self.usual_link = self.links.mean(self.fresh_from()).unwrap_or(asked);
     }
 
     fn note_uplink(&mut self, server: &ServerId, asked: f64, at: Ms) {
@@ -938,10 +980,10 @@
         if let Some(uplink) = self.uplinks.get_mut(&rack) {
             if uplink.seen.is_none_or(|it| it.at <= at) {
                 uplink.seen = Some(Seen { asked, own, at });
+                self.shared.note(&rack, at, asked);
             }
         }
-        let uplinks = self.held_at.iter().map(|id| self.uplink_of(&self.servers[id]).seen);
-        self.usual_uplink = self.mean_asked(uplinks).unwrap_or(asked);
+        self.usual_uplink = self.shared.mean(self.fresh_from()).unwrap_or(asked);
     }
 
     /// Short delivery is the link's, unless a note on the link that is no older than the shortage does not
@@ -1008,6 +1050,19 @@
     (seen.asked * capacity_of(told, seen) - seen.own.0).max(0.0)
 }
 
+/// Of the askers like that one, so many at another rung.
+fn moved(askers: &[Counted], from: Asker, count: f64, rung: usize) -> Vec<Counted> {
+    let to = Asker { rung: Rung(rung), ..from };
+    let mut after: Vec<Counted> = askers.to_vec();
+    after.iter_mut().filter(|it| it.0 == from).for_each(|it| it.1 -= count);
+    match after.iter_mut().find(|it| it.0 == to) {
+        Some(there) => there.1 += count,
+        None => after.push((to, count)),
+    }
+    after.retain(|it| it.1 > 0.0);
+    after
+}
+
 fn never_ran(viewing: &Viewing) -> bool {
     !viewing.tune_ins.iter().any(may_have_run)
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -139,9 +139,9 @@
 #[test_case(&[3, 1], 6.61, &[1, 2]; "top rung before lower request")]
 #[test_case(&[3, 3, 3], 0.5, &[0, 0, 0]; "nothing fits")]
 fn split_moves_top_rungs_down_just_enough(best: &[usize], capacity: f64, expected: &[usize]) {
-    let mut askers: Vec<Asker> = best.iter().map(|best| asker(0, *best, false)).collect();
-    brain(terms(), 0).split(&mut askers, capacity, 1e-9);
-    let mut rungs: Vec<usize> = askers.iter().map(|it| it.rung.0).collect();
+    let askers: Vec<Counted> = best.iter().map(|best| (asker(0, *best, false), 1.0)).collect();
+    let split = brain(terms(), 0).split(&askers, capacity, 1e-9);
+    let mut rungs: Vec<usize> = split.iter().flat_map(|it| vec![it.0.rung.0; it.1 as usize]).collect();
     rungs.sort();
     assert_eq!(rungs, expected);
 }
@@ -149,9 +149,9 @@
 #[test_case(asker(0, 3, false), asker(1, 3, false), &[2, 3]; "lower value first")]
 #[test_case(asker(1, 3, true), asker(0, 3, false), &[2, 3]; "over its share before value")]
 fn split_spares_value_and_those_within_their_share(one: Asker, other: Asker, expected: &[usize]) {
-    let mut askers = [one, other];
-    brain(terms(), 0).split(&mut askers, 13.21, 1e-9);
-    assert_eq!(askers.map(|it| it.rung.0), expected);
+    let split = brain(terms(), 0).split(&[(one, 1.0), (other, 1.0)], 13.21, 1e-9);
+    let rung = |of: Asker| split.iter().find(|it| it.0.package == of.package).map(|it| it.0.rung.0);
+    assert_eq!([rung(one), rung(other)].map(Option::unwrap), expected);
 }
 
 // Two of our viewings ask 20 of a link of 100; the others are counted by our mean rate of 10.
@@ -309,8 +309,9 @@
 #[test_case(|it| it.entry.weight = 0.0; "no room")]
 fn a_server_is_left_out(make: fn(&mut Server)) {
     let mut it = brain(terms(), 2);
+    let before = it.servers[&"s0".into()].entry.clone();
     make(server(&mut it, "s0"));
-    let entry = it.servers[&"s0".into()].entry.clone();
+    let entry = std::mem::replace(&mut server(&mut it, "s0").entry, before);
     it.list(&entry);
     let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![]);
     assert_eq!(it.eligible(&viewing), [ServerId::from("s1")]);
@@ -402,8 +403,8 @@
 fn rule_6_budget(further: usize, taken: usize, allowed: bool) {
     let budget = Some(Budget { free: 1.0, ratio: 0.5, span: Ms(1000.0) });
     let mut it = brain(Terms { budget, ..terms() }, 1);
-    it.further = [vec![it.now; further - 1], vec![Ms(98_000.0); 5]].concat();
-    it.taken = vec![it.now; taken];
+    it.further = [vec![Ms(98_000.0); 5], vec![it.now; further - 1]].concat().into();
+    it.taken = vec![it.now; taken].into();
     let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![tried("s0", Some(Outcome::TurnedAway))]);
     assert_eq!(it.may_tune_in(&viewing), allowed);
 }
@@ -537,3 +538,209 @@
     it.members(Ms(1.0), ListMode::Failed, &[], &mut said);
     assert_eq!(said.0, ["subscribe", "subscribe"]);
 }
+
+/// The split, the counts and the means as they are defined, without any index: the indexed ones must say the same.
+mod plain {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn askers(it: &Brain, server: &ServerId) -> Vec<(ViewingId, Asker)> {
+        let there = it.viewings.values().filter(|vw| vw.place() == Some(server));
+        there.map(|vw| (vw.wish.vw.clone(), it.asker(vw))).collect()
+    }
+
+    fn bound(it: &Brain, askers: &[Asker]) -> f64 {
+        let ones: Vec<Counted> = askers.iter().map(|asker| (*asker, 1.0)).collect();
+        let mut counts: BTreeMap<(PackageIx, Rung), f64> = BTreeMap::new();
+        ones.iter().for_each(|one| *counts.entry((one.0.package, one.0.rung)).or_default() += 1.0);
+        counts.iter().map(|((package, rung), n)| it.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
+    }
+
+    /// One at a time, each looked for among all.
+    fn split(it: &Brain, askers: &mut [Asker], capacity: f64, lot: f64) {
+        askers.iter_mut().for_each(|asker| asker.rung = asker.best);
+        let mut asks = bound(it, askers);
+        while asks > capacity {
+            let floor = |ix: &usize| askers[*ix].rung > it.terms.packages[askers[*ix].package.0].floor;
+            let movable = (0..askers.len()).filter(floor);
+            let Some(ix) = movable.max_by(|a, b| it.goes_down(&askers[*a], &askers[*b])) else {
+                return;
+            };
+            askers[ix].rung.0 -= 1;
+            let less = bound(it, askers);
+            if asks - capacity < lot * (asks - less) {
+                askers[ix].rung.0 += 1;
+                return;
+            }
+            asks = less;
+        }
+    }
+
+    fn counted(askers: impl Iterator<Item = Asker>) -> BTreeMap<Asker, usize> {
+        askers.fold(BTreeMap::new(), |mut all, asker| {
+            *all.entry(asker).or_default() += 1;
+            all
+        })
+    }
+
+    fn whole(askers: &[Counted]) -> BTreeMap<Asker, usize> {
+        askers.iter().fold(BTreeMap::new(), |mut all, it| {
+            *all.entry(it.0).or_default() += it.1 as usize;
+            all
+        })
+    }
+
+    fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+        let (sum, n) = values.fold((0.0, 0.0), |(sum, n), it| (sum + it, n + 1.0));
+        (n > 0.0).then_some(sum / n)
+    }
+
+    fn same(it: &mut Brain, capacity: f64, lot: f64) -> Result<(), TestCaseError> {
+        let ids: Vec<ServerId> = it.servers.keys().cloned().collect();
+        let mut holding = Vec::new();
+        for id in &ids {
+            let plainly = askers(it, id);
+            let rows: Vec<Asker> = plainly.iter().map(|it| it.1).collect();
+            let census = &it.servers[id].census;
+            prop_assert_eq!(whole(&census.counts()), counted(rows.iter().copied()));
+            prop_assert!((it.bound(&census.counts()) - bound(it, &rows)).abs() < 1e-6);
+            let plays = |it: &&(ViewingId, Asker), of: &Brain| of.viewings[&it.0].phase == Phase::Playing;
+            let top = plainly.iter().filter(|row| plays(row, it)).max_by(|a, b| it.goes_down(&a.1, &b.1));
+            let found = census.playing().max_by(|a, b| it.goes_down(&a.0, &b.0));
+            let order = top.zip(found.as_ref()).map(|(a, b)| it.goes_down(&a.1, &b.0));
+            prop_assert!(order.is_none_or(Ordering::is_eq) && top.is_some() == found.is_some());
+            let mut one_by_one = rows.clone();
+            split(it, &mut one_by_one, capacity, lot);
+            let at_once = it.split(&census.counts(), capacity, lot);
+            let rungs = |all: BTreeMap<Asker, usize>| {
+                all.into_iter().fold(BTreeMap::new(), |mut rungs, (asker, n)| {
+                    *rungs
+                        .entry((it.rate(asker.package, asker.rung).to_bits(), asker.over_share))
+                        .or_insert(0) += n;
+                    rungs
+                })
+            };
+            prop_assert_eq!(rungs(whole(&at_once)), rungs(counted(one_by_one.into_iter())));
+            prop_assert_eq!(it.held_at.iter().any(|held| held.1 == *id), !rows.is_empty());
+            if !rows.is_empty() {
+                prop_assert!(it.held_at.contains(&(it.servers[id].look_at, id.clone())));
+                holding.push(id.clone());
+            }
+        }
+        prop_assert_eq!(it.held_at.len(), holding.len());
+        let after = it.fresh_from();
+        let fresh = |seen: Option<Seen>| seen.filter(|it| it.at > after).map(|it| it.asked);
+        let links = mean(holding.iter().filter_map(|id| fresh(it.servers[id].seen)));
+        let uplinks = mean(holding.iter().filter_map(|id| fresh(it.uplink_of(&it.servers[id]).seen)));
+        let near = |a: Option<f64>, b: Option<f64>| {
+            a.is_some() == b.is_some() && a.zip(b).is_none_or(|(a, b)| (a - b).abs() < 1e-9)
+        };
+        let (known, shared) = (it.links.mean(after), it.shared.mean(after));
+        prop_assert!(
+            near(links, known) && near(uplinks, shared),
+            "{:?} {:?} {:?} {:?}",
+            links,
+            known,
+            uplinks,
+            shared
+        );
+        for viewing in it.viewings.values() {
+            let of = |other: &&Viewing| {
+                other.out()
+                    && (&other.wish.title, other.wish.package) == (&viewing.wish.title, viewing.wish.package)
+            };
+            let seated = it.viewings.values().filter(of).count();
+            let kept =
+                it.seated.get(&(viewing.wish.title.clone(), viewing.wish.package)).copied().unwrap_or(0);
+            prop_assert_eq!(kept, seated);
+        }
+        Ok(())
+    }
+
+    fn step(it: &mut Brain, no: usize, (kind, which, value): (u8, usize, f64)) {
+        let mut said = Said::default();
+        let names: Vec<ViewingId> = it.viewings.keys().cloned().collect();
+        let one = names.get(which % names.len().max(1)).cloned();
+        let id = ServerId::from(format!("s{}", which % 4).as_str());
+        it.now = it.now + Ms(value * 40.0);
+        let now = it.now;
+        match (kind, one) {
+            (0..=3, _) => {
+                let package = PackageIx(which % 2);
+                let title = if which % 3 == 0 { "film" } else { "show" };
+                let (best, due) = (Rung(which % 4), now + Ms(4000.0));
+                let tenant = (which % 5 == 0).then_some(TenantIx(0));
+                let vw = format!("v{no}");
+                it.incoming(
+                    now,
+                    Wish { package, title: title.into(), best, tenant, due, ..wish(&vw) },
+                    &mut said,
+                );
+            }
+            (4 | 5, Some(vw)) => {
+                if let Some(server) = it.viewings[&vw].place().cloned() {
+                    it.first(now, &vw, &server, &mut said);
+                }
+            }
+            (6, Some(vw)) => {
+                if let Some(server) = it.viewings[&vw].place().cloned() {
+                    let no = TuneInNo(it.viewings[&vw].tune_ins.len() - 1);
+                    let last = it.viewings[&vw].phase == Phase::Playing || which % 2 == 0;
+                    it.answer(now, &vw, no, &server, Outcome::TurnedAway, last, Load::default(), &mut said);
+                }
+            }
+            (7, Some(vw)) => it.dropped(now, &vw, &mut said),
+            (8, Some(vw)) => {
+                let topic = [Topic::LinkAsked, Topic::UplinkAsked, Topic::ShareDelivered][which % 3];
+                it.change(now, &vw, topic, value / 8.0, &id, &mut said);
+            }
+            (9, _) => {
+                let mut entry = entry(&id.to_string(), (which % 6) as u64);
+                entry.started = (which % 4 == 1).then_some(now);
+                it.members(now, ListMode::Incremental, &[entry], &mut said);
+            }
+            _ => it.bell(now, BellTag(0), &mut said),
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(150))]
+
+        #[test]
+        fn what_is_kept_is_what_is_defined(
+            steps in proptest::collection::vec((0u8..11, 0usize..60, 0.0..9.0f64), 1..90),
+            capacity in 0.0..90.0f64,
+            lot in 0.001..1.0f64,
+        ) {
+            let mut terms = terms();
+            terms.packages[1].seats = 3;
+            terms.packages[1].floor = Rung(1);
+            let mut it = brain(Terms { link_unit_kb: 40.0, ..terms }, 4);
+            for (no, one) in steps.into_iter().enumerate() {
+                step(&mut it, no, one);
+                same(&mut it, capacity, lot)?;
+            }
+        }
+
+        /// Also with many who are alike, with packages of one value, and on any ladder.
+        #[test]
+        fn those_alike_move_at_once(
+            rows in proptest::collection::vec((0usize..2, 0usize..4, any::<bool>(), 1usize..40), 1..8),
+            ladder in proptest::collection::vec(0.1..4.0f64, 4),
+            part in 0.0..1.2f64,
+            lot in 0.001..1.0f64,
+        ) {
+            let mut rate = 0.0;
+            let ladder_kb = ladder.iter().map(|it| { rate += it; rate }).collect();
+            let it = brain(Terms { ladder_kb, ..terms() }, 0);
+            let counts: Vec<Counted> = rows.iter()
+                .map(|(package, best, over, n)| (asker(*package, *best, *over), *n as f64)).collect();
+            let mut one_by_one: Vec<Asker> =
+                counts.iter().flat_map(|it| vec![it.0; it.1 as usize]).collect();
+            let capacity = bound(&it, &one_by_one) * part;
+            split(&it, &mut one_by_one, capacity, lot);
+            let at_once = it.split(&counts, capacity, lot);
+            prop_assert_eq!(whole(&at_once), counted(one_by_one.into_iter()));
+        }
+    }
+}
--- /dev/null
+++ b/src/census.rs
@@ -0,0 +1,127 @@
+//! Counts that are kept as things change, so that a decision need not go through all that is held. No decision lies
+//! in here.
+
+use crate::ids::{PackageIx, Rung, ViewingId};
+use crate::time::Ms;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A viewing's part in the split of a server; those alike in all of it are alike to every decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Asker {
+    pub package: PackageIx,
+    pub best: Rung,
+    pub rung: Rung,
+    pub over_share: bool,
+}
+
+/// Askers that are alike, and their number.
+pub type Counted = (Asker, f64);
+
+#[derive(Clone, Debug, Default)]
+struct Rank {
+    count: usize,
+    playing: BTreeSet<ViewingId>,
+}
+
+/// The viewings that a server holds or sets up, by what they ask.
+#[derive(Clone, Debug, Default)]
+pub struct Census {
+    ranks: BTreeMap<Asker, Rank>,
+}
+
+impl Census {
+    pub fn add(&mut self, asker: Asker, vw: &ViewingId, playing: bool) {
+        let rank = self.ranks.entry(asker).or_default();
+        rank.count += 1;
+        if playing {
+            rank.playing.insert(vw.clone());
+        }
+    }
+
+    pub fn remove(&mut self, asker: Asker, vw: &ViewingId) {
+        if let Some(rank) = self.ranks.get_mut(&asker) {
+            rank.count -= 1;
+            rank.playing.remove(vw);
+            if rank.count == 0 {
+                self.ranks.remove(&asker);
+            }
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.ranks.is_empty()
+    }
+
+    pub fn counts(&self) -> Vec<Counted> {
+        self.ranks.iter().map(|(asker, rank)| (*asker, rank.count as f64)).collect()
+    }
+
+    /// Of each kind of asker one that plays, where any does.
+    pub fn playing(&self) -> impl Iterator<Item = (Asker, &ViewingId)> {
+        self.ranks.iter().filter_map(|(asker, rank)| Some((*asker, rank.playing.last()?)))
+    }
+}
+
+/// The mean of what was last noted of each key, as far as it is recent; each key has a weight, at first 0.
+#[derive(Clone, Debug)]
+pub struct RecentMean<K> {
+    notes: BTreeMap<K, (Ms, f64)>,
+    weights: BTreeMap<K, f64>,
+    by_age: BTreeSet<(Ms, K)>,
+    sum: f64,
+    weight: f64,
+}
+
+impl<K: Ord + Clone> Default for RecentMean<K> {
+    fn default() -> Self {
+        let (notes, weights, by_age) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
+        RecentMean { notes, weights, by_age, sum: 0.0, weight: 0.0 }
+    }
+}
+
+impl<K: Ord + Clone> RecentMean<K> {
+    pub fn note(&mut self, key: &K, at: Ms, value: f64) {
+        self.forget(key);
+        self.notes.insert(key.clone(), (at, value));
+        self.by_age.insert((at, key.clone()));
+        self.count(key, 1.0);
+    }
+
+    pub fn forget(&mut self, key: &K) {
+        self.count(key, -1.0);
+        if let Some((at, _)) = self.notes.remove(key) {
+            self.by_age.remove(&(at, key.clone()));
+        }
+    }
+
+    /// Adds to a key's weight.
+    pub fn weigh(&mut self, key: &K, more: f64) {
+        self.count(key, -1.0);
+        let weight = self.weights.get(key).copied().unwrap_or(0.0) + more;
+        if weight > 0.0 {
+            self.weights.insert(key.clone(), weight);
+        } else {
+            self.weights.remove(key);
+        }
+        self.count(key, 1.0);
+    }
+
+    fn count(&mut self, key: &K, sign: f64) {
+        if let (Some((_, value)), Some(weight)) = (self.notes.get(key), self.weights.get(key)) {
+            self.sum += sign * value * weight;
+            self.weight += sign * weight;
+        }
+        if self.weight < 0.5 {
+            // Weights are whole numbers: nothing is left but fractions.
+            (self.sum, self.weight) = (0.0, 0.0);
+        }
+    }
+
+    /// The mean of what was noted after that time; what is older is forgotten.
+    pub fn mean(&mut self, after: Ms) -> Option<f64> {
+        while let Some((_, key)) = self.by_age.first().filter(|it| it.0 <= after).cloned() {
+            self.forget(&key);
+        }
+        (self.weight > 0.0).then(|| self.sum / self.weight)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answers;
 pub mod brain;
+pub mod census;
 pub mod ids;
 pub mod state;
 pub mod terms;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,9 @@
 //! Shapes of what the module knows and of what it is told.
 
+use crate::census::Census;
 use crate::ids::{Cell, Kind, PackageIx, Rung, ServerId, TenantIx, TitleId, ViewingId, Zone};
 use crate::time::Ms;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -135,10 +136,10 @@
     /// Share last delivered to viewings there, and when.
     pub delivered: (f64, Ms),
     /// Viewings that the manager has there, set-ups included.
-    pub held: BTreeSet<ViewingId>,
+    pub census: Census,
     /// What they ask by the ladder, and the changes of it, newest last.
     pub own: Own,
-    pub ledger: Vec<(Ms, Own)>,
+    pub ledger: VecDeque<(Ms, Own)>,
     /// When the manager sent set-ups there, newest last.
     pub sent: Vec<Ms>,
     pub cold_until: Ms,
@@ -178,9 +179,9 @@
             link_note: (0.0, Ms::LONG_AGO),
             short_since: None,
             delivered: (1.0, Ms::LONG_AGO),
-            held: BTreeSet::new(),
+            census: Census::default(),
             own: (0.0, 0.0),
-            ledger: Vec::new(),
+            ledger: VecDeque::new(),
             sent: Vec::new(),
             cold_until,
             failures: 0,
@@ -193,7 +194,7 @@
     }
 
     pub fn own_at(&self, at: Ms) -> Own {
-        let since = self.ledger.iter().filter(|it| it.0 > at);
+        let since = self.ledger.iter().rev().take_while(|it| it.0 > at);
         since.fold(self.own, |(kb, n), it| (kb - it.1 .0, n - it.1 .1))
     }
 }
