--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -34,6 +34,9 @@
         /// Chance from a fixed start.
         #[arg(long)]
         seed: Option<u64>,
+        /// For tests: on SIGUSR1 that core stands still for so many milliseconds, CORE:MS.
+        #[arg(long, hide = true, value_parser = stall)]
+        stall: Option<(usize, u64)>,
     },
     /// Reads a manager's or a day's settings and tells all that is wrong with them.
     Check { settings: PathBuf },
@@ -49,6 +52,9 @@
         /// In place of the day's own.
         #[arg(long)]
         seed: Option<u64>,
+        /// Cores of each manager.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=64))]
+        cores: u8,
         /// Keeps the managers' files and logs.
         #[arg(long)]
         keep: bool,
@@ -80,7 +86,7 @@
         logs.with_ansi(false).init();
     }
     match line.job {
-        Job::Run { settings, record, seed } => match run::run(settings, record, seed) {
+        Job::Run { settings, record, seed, stall } => match run::run(settings, record, seed, stall) {
             Ok(()) => ExitCode::SUCCESS,
             Err(complaints) => complain(&complaints),
         },
@@ -91,9 +97,10 @@
             }
             Err(complaints) => complain(&complaints),
         },
-        Job::Rehearse { day, record, traffic, seed, keep } => {
+        Job::Rehearse { day, record, traffic, seed, cores, keep } => {
+            let cores = usize::from(cores);
             let log = line.log.unwrap_or_else(|| "info".to_string());
-            let asked = rehearse::Rehearsal { day, record, traffic, seed, log, keep };
+            let asked = rehearse::Rehearsal { day, record, traffic, seed, log, keep, cores };
             match rehearse::rehearse(&asked) {
                 Ok(verdict) => tell(&verdict),
                 Err(complaints) => complain(&complaints),
@@ -116,6 +123,11 @@
     }
 }
 
+fn stall(text: &str) -> Result<(usize, u64), String> {
+    let parts = text.split_once(':').and_then(|(core, ms)| Some((core.parse().ok()?, ms.parse().ok()?)));
+    parts.ok_or_else(|| "expected CORE:MS".to_string())
+}
+
 fn complain(complaints: &[String]) -> ExitCode {
     for complaint in complaints {
         eprintln!("{complaint}");
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,18 +1,24 @@
 //! Figures in the usual text format.
 
+use crate::post::Core;
 use ottersail_front::{Counts, Front, Reply};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
+type Of = Vec<(&'static str, String)>;
+
 /// Bounds in seconds.
 const BOUNDS: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 /// How long answers took.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Times {
     played: Histogram,
     refused: Histogram,
@@ -30,19 +36,19 @@
 }
 
 impl Times {
-    pub fn answered(&mut self, reply: &Reply, ms: f64) {
+    pub fn answered(&self, reply: &Reply, ms: f64) {
         let of = if matches!(reply, Reply::Playlist(_)) { &self.played } else { &self.refused };
         of.observe(ms / 1e3);
     }
 
     /// A server answered a set-up, or it failed.
-    pub fn set_up(&mut self, took: Duration) {
+    pub fn set_up(&self, took: Duration) {
         self.set_up.observe(took.as_secs_f64());
     }
 }
 
 /// The page that is scraped.
-pub fn page(front: &Front, times: &Times, open: usize, turned_away: u64) -> String {
+pub fn page(front: &Front, times: &Times, open: usize, turned_away: u64, cores: &[Arc<Core>]) -> String {
     let mut registry = Registry::with_prefix("ottersail");
     let Counts {
         asked,
@@ -90,6 +96,17 @@
         gauge.set(value as i64);
         registry.register(name, help, gauge);
     }
+    let (held, answered): (Family<Of, Gauge>, Family<Of, Counter>) = Default::default();
+    let queued: Family<Of, Gauge> = Family::default();
+    for (core, it) in cores.iter().enumerate() {
+        let of = [("core", core.to_string())].to_vec();
+        held.get_or_create(&of).set(it.open.load(Ordering::Relaxed) as i64);
+        answered.get_or_create(&of).inc_by(it.answered.load(Ordering::Relaxed));
+        queued.get_or_create(&of).set(it.errands.waiting() as i64);
+    }
+    registry.register("core_connections", "Connections open to players, by core", held);
+    registry.register("core_answered", "Requests answered, by core", answered);
+    registry.register("core_errands", "Errands that wait, by core", queued);
     registry.register("answer_seconds_played", "Time to the answer, played", times.played.clone());
     registry.register(
         "answer_seconds_refused",
--- /dev/null
+++ b/daemon/src/owner.rs
@@ -0,0 +1,278 @@
+//! The owner of placement: the one thread that holds the front, its clock and its record. What happens comes in as
+//! news from all cores; what the front wants goes out as errands. Nothing here decides.
+
+use crate::metrics::{page, Times};
+use crate::post::{Core, Errand, News, Slot};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use ottersail_front::ids::{Rung, ServerId, ViewingId};
+use ottersail_front::tape::{Scribe, Told};
+use ottersail_front::{AskId, Front, Ms, Orders, Reply, SetUp};
+use ottersail_net::{Clock, Server};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::rc::Rc;
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+use tracing::warn;
+
+/// News taken in a row before other tasks have their turn.
+const AT_ONCE: usize = 64;
+
+pub struct Owner {
+    pub clock: Clock,
+    front: RefCell<Front>,
+    last: Cell<f64>,
+    tape: RefCell<Option<Tape>>,
+    slots: RefCell<BTreeMap<AskId, (Arc<Slot>, String)>>,
+    cores: Vec<Arc<Core>>,
+    /// The core that sees to a viewing, from its first set-up on: what is done for one viewing is done in order, so
+    /// that a set-up is closed before the next goes out, also where its core stands still in between.
+    homes: RefCell<BTreeMap<ViewingId, usize>>,
+    sweep_homes_at: Cell<usize>,
+    armed: Cell<f64>,
+    rearm: (Sender<()>, Receiver<()>),
+    times: Times,
+    server: Arc<Server>,
+    /// Time spent in the front so far.
+    pub spent: Cell<Duration>,
+}
+
+/// Where all that is told and wanted is written down.
+pub struct Tape(BufWriter<File>);
+
+impl Tape {
+    /// # Errors
+    /// If the file can't be made.
+    pub fn begin(path: &std::path::Path, header: &serde_json::Value) -> std::io::Result<Tape> {
+        let mut tape = Tape(BufWriter::new(File::create(path)?));
+        writeln!(tape.0, "{header}")?;
+        tape.0.flush()?;
+        Ok(tape)
+    }
+
+    /// `core` is the one that saw it.
+    fn line(&mut self, at: f64, core: usize, told: &Told, wanted: &[String]) -> std::io::Result<()> {
+        let line = serde_json::json!({ "at": at, "core": core, "told": told, "wanted": wanted });
+        writeln!(self.0, "{line}")?;
+        self.0.flush()
+    }
+}
+
+/// Sends each wish to the core that sees to it.
+struct Hands<'a>(&'a Owner);
+
+impl Owner {
+    pub fn new(
+        clock: Clock,
+        front: Front,
+        tape: Option<Tape>,
+        cores: Vec<Arc<Core>>,
+        times: Times,
+        server: Arc<Server>,
+    ) -> Rc<Owner> {
+        Rc::new(Owner {
+            clock,
+            front: RefCell::new(front),
+            last: Cell::new(0.0),
+            tape: RefCell::new(tape),
+            slots: RefCell::default(),
+            cores,
+            homes: RefCell::default(),
+            sweep_homes_at: Cell::new(1024),
+            armed: Cell::new(f64::INFINITY),
+            rearm: async_channel::bounded(1),
+            times,
+            server,
+            spent: Cell::default(),
+        })
+    }
+
+    /// Takes news for ever.
+    pub async fn listen(self: Rc<Owner>, news: Receiver<News>) {
+        let mut in_a_row = 0;
+        while let Ok(it) = news.recv().await {
+            match it {
+                News::Happened { told, slot } => self.happened(told, slot),
+                News::Page(to) => {
+                    let (open, away) = (self.server.open(), self.server.turned_away());
+                    let text = self.front(|it| page(it, &self.times, open, away, &self.cores));
+                    _ = to.try_send(text);
+                }
+            }
+            in_a_row += 1;
+            if in_a_row >= AT_ONCE {
+                in_a_row = 0;
+                futures_lite::future::yield_now().await;
+            }
+        }
+    }
+
+    fn happened(&self, told: Told, slot: Option<(Arc<Slot>, String)>) {
+        if let (Some((slot, trace)), Told::Asked { ask, .. } | Told::Reloaded { ask, .. }) = (slot, &told) {
+            if !slot.claim.take() {
+                // Answered while it waited for the owner: nothing may be done for it any more.
+                return;
+            }
+            self.slots.borrow_mut().insert(*ask, (slot, trace));
+        }
+        if let Told::Left { ask } = &told {
+            self.slots.borrow_mut().remove(ask);
+        }
+        self.tell(&told);
+    }
+
+    /// Tells the front that something happened, and sees to what it wants.
+    pub fn tell(&self, told: &Told) {
+        let now = self.clock.now().max(self.last.get());
+        self.last.set(now);
+        let began = Instant::now();
+        let mut front = self.front.borrow_mut();
+        let mut tape = self.tape.borrow_mut();
+        match tape.as_mut() {
+            None => told.tell(&mut front, Ms(now), &mut Hands(self)),
+            Some(open) => {
+                let mut lines = Vec::new();
+                let mut hands = Hands(self);
+                told.tell(&mut front, Ms(now), &mut Scribe { lines: &mut lines, out: Some(&mut hands) });
+                if let Err(trouble) = open.line(now, self.core_of_told(told), told, &lines) {
+                    warn!(%trouble, "the record can't be written any more; it ends here");
+                    *tape = None;
+                }
+            }
+        }
+        self.spent.set(self.spent.get() + began.elapsed());
+        let due = front.next_due().map_or(f64::INFINITY, |it| it.0);
+        if due < self.armed.get() {
+            _ = self.rearm.0.try_send(());
+        }
+    }
+
+    /// Ends the record, since what follows could not be played back.
+    pub fn end_tape(&self) {
+        *self.tape.borrow_mut() = None;
+    }
+
+    pub fn front<T>(&self, look: impl FnOnce(&mut Front) -> T) -> T {
+        look(&mut self.front.borrow_mut())
+    }
+
+    /// Rings when the front wants to be rung.
+    pub async fn ring(self: Rc<Owner>) {
+        loop {
+            let due = self.front(|it| it.next_due()).map_or(f64::INFINITY, |it| it.0);
+            self.armed.set(due);
+            let wait = async {
+                if due.is_finite() {
+                    // A little late, so that the time has come when it is looked at.
+                    Timer::at(self.clock.instant(due + 0.05)).await;
+                } else {
+                    futures_lite::future::pending::<()>().await;
+                }
+            };
+            futures_lite::future::or(wait, async {
+                _ = self.rearm.1.recv().await;
+            })
+            .await;
+            if self.front(|it| it.next_due()).is_some_and(|it| it.0 <= self.clock.now()) {
+                self.tell(&Told::TimeHasCome);
+            }
+            self.sweep();
+            // Other tasks have their turn between two rings, however many are due.
+            futures_lite::future::yield_now().await;
+        }
+    }
+
+    fn core_of_told(&self, told: &Told) -> usize {
+        match told {
+            Told::Asked { ask, .. } | Told::Reloaded { ask, .. } | Told::Left { ask } => {
+                ask.0 as usize % self.cores.len()
+            }
+            Told::SetUpEnded { vw, .. } | Told::RungChanged { vw, .. } | Told::LetGo { vw } => {
+                self.core_of(vw)
+            }
+            Told::Noted { server, .. } | Told::ServerLost { server } => self.core_of(server),
+            _ => 0,
+        }
+    }
+
+    /// The core that listens to a server.
+    fn core_of(&self, name: &str) -> usize {
+        let sum = name.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) % 65_521);
+        sum as usize % self.cores.len()
+    }
+
+    fn home(&self, vw: &ViewingId) -> usize {
+        self.homes.borrow().get(vw).copied().unwrap_or(0)
+    }
+
+    /// A viewing's core is the one that holds its viewer's connection.
+    fn settle_at(&self, vw: &ViewingId, ask: Option<AskId>) {
+        let core = ask.map_or(0, |it| it.0 as usize % self.cores.len());
+        self.homes.borrow_mut().entry(vw.clone()).or_insert(core);
+    }
+
+    /// Homes of viewings that are over are forgotten once there are many.
+    pub fn sweep(&self) {
+        let mut homes = self.homes.borrow_mut();
+        if homes.len() >= self.sweep_homes_at.get() {
+            let front = self.front.borrow();
+            homes.retain(|vw, _| front.holds(vw));
+            self.sweep_homes_at.set((homes.len() * 2).max(1024));
+        }
+    }
+
+    fn send(&self, core: usize, errand: Errand) {
+        if !self.cores[core].errands.put(errand) {
+            warn!(core, "a core stands still; an end is left to the server's lease");
+        }
+    }
+}
+
+impl Orders for Hands<'_> {
+    fn set_up(&mut self, it: &SetUp) {
+        let slots = self.0.slots.borrow();
+        let trace = it.ask.and_then(|ask| slots.get(&ask)).map_or(String::new(), |it| it.1.clone());
+        self.0.settle_at(&it.vw, it.ask);
+        let vw = it.vw.to_string();
+        let path =
+            format!("/viewings/{vw}/{}?title={}&package={}&rung={}", it.no, it.title, it.package, it.rung.0);
+        let (no, address, send_by) = (it.no, it.address.clone(), it.send_by.0);
+        self.0.send(self.0.home(&it.vw), Errand::SetUp { vw, no, address, path, trace, send_by });
+    }
+
+    fn call_off(&mut self, vw: &ViewingId, no: usize, _: &ServerId, address: &str) {
+        let (name, address) = (vw.to_string(), address.to_string());
+        self.0.send(self.0.home(vw), Errand::CallOff { vw: name, no, address });
+    }
+
+    fn change_rung(&mut self, vw: &ViewingId, _: &ServerId, address: &str, rung: Rung) {
+        let (name, address, rung) = (vw.to_string(), address.to_string(), rung.0);
+        self.0.send(self.0.home(vw), Errand::ChangeRung { vw: name, address, rung });
+    }
+
+    fn let_go(&mut self, vw: &ViewingId, _: &ServerId, address: &str) {
+        let (name, address) = (vw.to_string(), address.to_string());
+        self.0.send(self.0.home(vw), Errand::LetGo { vw: name, address });
+    }
+
+    fn reply(&mut self, ask: AskId, reply: Reply) {
+        if let Some((slot, _)) = self.0.slots.borrow_mut().remove(&ask) {
+            self.0.times.answered(&reply, self.0.clock.now() - slot.began);
+            *slot.reply.lock().unwrap_or_else(PoisonError::into_inner) = Some(reply);
+            _ = slot.ready.try_send(());
+        }
+    }
+
+    fn listen(&mut self, server: &ServerId, address: &str) {
+        let (server, address) = (server.to_string(), address.to_string());
+        self.0.send(self.0.core_of(&server), Errand::Listen { server, address });
+    }
+
+    fn hang_up(&mut self, server: &ServerId) {
+        let server = server.to_string();
+        self.0.send(self.0.core_of(&server), Errand::HangUp { server });
+    }
+}
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -28,6 +28,8 @@
     /// How loud the managers are.
     pub log: String,
     pub keep: bool,
+    /// Cores of each manager.
+    pub cores: usize,
 }
 
 /// After the last viewer has come, those who watch have so long to end.
@@ -47,6 +49,8 @@
     recording: bool,
     log: String,
     seed: u64,
+    /// The core that is to stand still, and for how many milliseconds.
+    stall: Option<(usize, u64)>,
 }
 
 /// Plays a day and judges it.
@@ -83,12 +87,14 @@
     let (go, going) = async_channel::bounded(1);
     let fleet = run_fleet(&plan.day, &recorder, &keys, going)?;
 
+    let stall = plan.day.faults.iter().find(|it| it.kind == FaultKind::CoreStall);
     let stage = Stage {
         folder: folder.to_path_buf(),
         program: std::env::current_exe().map_err(tell)?,
         recording: asked.record.is_some(),
         log: asked.log.clone(),
         seed: plan.day.seed,
+        stall: stall.map(|it| (asked.cores - 1, (it.size * 1e3) as u64)),
     };
     let zones: Vec<String> =
         (0..plan.day.managers).map(|it| plan.day.zones[it % plan.day.zones.len()].clone()).collect();
@@ -105,6 +111,7 @@
             grace: plan.grace,
             list_wait: Ms(2_000.0),
             silence: Ms(3_000.0),
+            cores: asked.cores,
         };
         fs::write(folder.join(format!("manager-{number}.ini")), write_manager(&terms, &post))
             .map_err(tell)?;
@@ -166,6 +173,9 @@
         // Not the same chance for each manager and life.
         let seed = self.seed.wrapping_mul(1_000_003) + (number * 1_009 + life * 7_919) as u64;
         command.arg("--seed").arg(seed.to_string());
+        if let Some((core, ms)) = self.stall {
+            command.arg("--stall").arg(format!("{core}:{ms}"));
+        }
         if self.recording {
             command.arg("--record").arg(self.tape(number, life));
         }
@@ -222,12 +232,17 @@
                 recorder.note(Event::ManagerStopped { manager });
                 signal(&it.child, Signal::STOP);
             }
+            Act::StallCore => {
+                recorder.note(Event::CoreStopped { manager });
+                signal(&it.child, Signal::USR1);
+            }
+            Act::CoreMoves => recorder.note(Event::CoreContinued { manager }),
             Act::GoOn => {
                 signal(&it.child, Signal::CONT);
                 recorder.note(Event::ManagerContinued { manager });
             }
         }
-        let on = matches!(act, Act::Kill | Act::Stop);
+        let on = matches!(act, Act::Kill | Act::Stop | Act::StallCore);
         recorder.note(Event::Fault { name, on, what: format!("manager {manager}") });
     }
 }
@@ -237,6 +252,8 @@
     Start,
     Stop,
     GoOn,
+    StallCore,
+    CoreMoves,
 }
 
 struct Step {
@@ -259,6 +276,12 @@
                 FaultKind::ManagerKill => (start, end, Act::Kill, Act::Start),
                 FaultKind::ManagerRoll => (late, late + size, Act::Kill, Act::Start),
                 FaultKind::ManagerStall => (start, end, Act::Stop, Act::GoOn),
+                FaultKind::CoreStall => {
+                    let name = fault.name.clone();
+                    steps.push(Step { second: start, act: Act::StallCore, manager, name: name.clone() });
+                    steps.push(Step { second: start + size, act: Act::CoreMoves, manager, name });
+                    continue;
+                }
                 _ => continue,
             };
             let name = &fault.name;
--- /dev/null
+++ b/daemon/src/rescue.rs
@@ -0,0 +1,57 @@
+//! A core that stands still: its requests are answered by another, once each, as far as that can be done.
+
+use crate::post::News;
+use crate::service::raw;
+use crate::worker::{Shared, PULSE};
+use async_io::Timer;
+use ottersail_cores::Stage;
+use ottersail_front::tape::Told;
+use ottersail_front::{AskId, Reply};
+use std::sync::{Arc, PoisonError};
+use tracing::warn;
+
+/// A core that has not moved for so long, in milliseconds, stands still: a dozen pulses.
+pub const STILL: f64 = 250.0;
+
+/// Watches all other cores for ever.
+pub async fn watch(shared: Arc<Shared>, me: usize) {
+    loop {
+        Timer::after(PULSE * 2).await;
+        let now = shared.clock.now();
+        for (index, core) in shared.cores.iter().enumerate() {
+            if index == me || core.still_for(now) < STILL {
+                continue;
+            }
+            let waiting: Vec<_> = {
+                let all = core.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+                all.iter().map(|(ask, slot)| (*ask, slot.clone())).collect()
+            };
+            for (ask, slot) in waiting {
+                let has_reply = slot.reply.lock().unwrap_or_else(PoisonError::into_inner).is_some();
+                if !has_reply && now < slot.due {
+                    continue;
+                }
+                let Some(stage) = slot.claim.answer() else {
+                    continue;
+                };
+                let reply = slot.reply.lock().unwrap_or_else(PoisonError::into_inner).take();
+                warn!(core = index, ask = ask.0, "a core stands still; answered in its place");
+                let reply = reply.unwrap_or_else(|| in_place(&shared, ask, stage));
+                // A client that has gone needs no answer.
+                _ = slot.line.answer_and_close(&raw(reply));
+            }
+        }
+    }
+}
+
+/// The owner has said nothing: what can be said without it.
+fn in_place(shared: &Shared, ask: AskId, stage: Stage) -> Reply {
+    match stage {
+        Stage::Put => Reply::Blocked { stay_away: shared.reach.stay_away },
+        Stage::Taken => {
+            // Should the queue be full, the viewer's silence tells the owner later.
+            _ = shared.news.try_send(News::Happened { told: Told::Left { ask }, slot: None });
+            Reply::Aborted { late: true }
+        }
+    }
+}
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -1,24 +1,34 @@
 //! `ottersail run`: one manager, until it is told to end.
 
-use crate::hub::{Hub, Tape};
+use crate::metrics::Times;
+use crate::owner::{Owner, Tape};
+use crate::post::{Core, Errand, MOST_NEWS};
+use crate::rescue;
 use crate::service::Service;
 use crate::settings::manager::{read_manager, Manager};
+use crate::worker::{Shared, Worker};
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use ottersail_cores::Spread;
 use ottersail_front::tape::Told;
 use ottersail_front::{Front, House, Ms, Orders};
-use ottersail_net::{executor, serve, Clock, Exec, Limits, Nursery, Server};
+use ottersail_net::{accept, executor, serve_one, Accepted, Clock, Exec, Limits, Nursery, Server};
 use ottersail_tickets::Keys;
 use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::json;
-use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tracing::{error, info, warn};
 
+/// Connections that were accepted and wait for a core; one more is answered 503.
+const MOST_ARRIVING: usize = 1_024;
 /// A drain ends by then, should a request be stuck: no patience is longer.
 const LONGEST_DRAIN: Duration = Duration::from_secs(130);
 const HEAD: Duration = Duration::from_secs(15);
@@ -80,7 +90,12 @@
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn run(path: PathBuf, record: Option<PathBuf>, seed: Option<u64>) -> Result<(), Vec<String>> {
+pub fn run(
+    path: PathBuf,
+    record: Option<PathBuf>,
+    seed: Option<u64>,
+    stall: Option<(usize, u64)>,
+) -> Result<(), Vec<String>> {
     let (text, manager, keys) = read(&path)?;
     let clock = Clock::start();
     let seed = seed.unwrap_or_else(|| fastrand::u64(..));
@@ -93,25 +108,27 @@
     let tape = tape.transpose().map_err(|it| vec![it])?;
     raise_files(manager.connections);
     let exec = executor();
-    let service = start(exec, clock, &manager, keys, front, tape).map_err(|it| vec![it])?;
-    let hub = service.hub.clone();
-    info!(listen = %manager.listen, managers = manager.terms.managers, number = manager.terms.me.0, "running");
+    let running = start(exec, clock, &manager, keys, front, tape).map_err(|it| vec![it])?;
+    let owner = running.owner.clone();
+    let (listen, cores) = (&manager.listen, manager.cores);
+    info!(listen, cores, managers = manager.terms.managers, number = manager.terms.me.0, "running");
 
     async_io::block_on(exec.run(async {
-        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1]) {
             Ok(signals) => signals,
             Err(trouble) => return Err(vec![format!("signals can't be taken: {trouble}")]),
         };
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => reload(&path, &manager, &service),
+                Ok(Signal::Hup) => reload(&path, &manager, &running),
+                Ok(Signal::Usr1) => stand_still(&running, stall),
                 Ok(_) => break,
                 Err(trouble) => warn!(%trouble, "signal"),
             }
         }
-        hub.tell(&Told::Drain);
+        owner.tell(&Told::Drain);
         let done = async {
-            while hub.front(|it| it.waiting()) > 0 {
+            while owner.front(|it| it.waiting()) > 0 {
                 Timer::after(Duration::from_millis(10)).await;
             }
             // What was answered last still has to go out.
@@ -127,7 +144,15 @@
     }))
 }
 
-/// Starts all tasks of a manager on an executor.
+/// A manager that runs: the owner of placement on the calling thread, and what all cores share.
+pub struct Running {
+    pub owner: Rc<Owner>,
+    pub shared: Arc<Shared>,
+    pub server: Arc<Server>,
+}
+
+/// Starts all tasks of a manager: those of the owner and of the first core on the given executor, the other cores on
+/// threads of their own.
 ///
 /// # Errors
 /// If its address can't be had.
@@ -138,22 +163,101 @@
     keys: Keys,
     front: Front,
     tape: Option<Tape>,
-) -> Result<Rc<Service>, String> {
+) -> Result<Running, String> {
     let address: SocketAddr = manager.listen.parse().map_err(|it| format!("{}: {it}", manager.listen))?;
     let listener = Async::<TcpListener>::bind(address)
         .map_err(|it| format!("{address}: {it}; is another one running?"))?;
     let limits = Limits { connections: manager.connections, head: HEAD };
-    let hub = Hub::new(exec, clock, manager.clone(), front, tape);
+    let (news, to_owner) = async_channel::bounded(MOST_NEWS);
+    let cores: Vec<Arc<Core>> = (0..manager.cores).map(|_| Arc::default()).collect();
+    cores.iter().for_each(|it| it.moves(clock.now()));
+    let times = Times::default();
+    let shared = Arc::new(Shared {
+        clock,
+        reach: manager.into(),
+        keys: ArcSwap::from_pointee(keys),
+        listed: AtomicBool::new(false),
+        titled: AtomicBool::new(false),
+        times: times.clone(),
+        cores: cores.clone(),
+        news,
+    });
     let server = Server::new();
-    let service = Rc::new(Service { hub: hub.clone(), keys: RefCell::new(keys), server: server.clone() });
+    let owner = Owner::new(clock, front, tape, cores, times, server.clone());
+    exec.spawn(owner.clone().listen(to_owner)).detach();
+    exec.spawn(owner.clone().ring()).detach();
+    let mut posts = Vec::new();
+    for index in 0..manager.cores {
+        let (post, incoming) = async_channel::bounded::<Accepted>(MOST_ARRIVING);
+        posts.push(post);
+        let shared = shared.clone();
+        if index == 0 {
+            let worker = work(exec, index, shared, incoming, limits);
+            exec.spawn(worker.clone().follow(true)).detach();
+            exec.spawn(worker.follow(false)).detach();
+        } else {
+            let name = format!("core-{index}");
+            let thread = std::thread::Builder::new().name(name).spawn(move || {
+                let exec = executor();
+                _ = work(exec, index, shared, incoming, limits);
+                async_io::block_on(exec.run(std::future::pending::<()>()));
+            });
+            thread.map_err(|it| format!("core {index}: {it}"))?;
+        }
+    }
+    let (nursery, spread, seen) = (Nursery::new(exec), Spread::new(manager.cores), shared.clone());
+    let hand_on = move |accepted: Accepted| {
+        let open: Vec<usize> = seen.cores.iter().map(|it| it.open.load(Ordering::Relaxed)).collect();
+        let now = seen.clock.now();
+        let still: Vec<bool> = seen.cores.iter().map(|it| it.still_for(now) > rescue::STILL).collect();
+        let core = spread.next(&open, &still);
+        seen.cores[core].open.fetch_add(1, Ordering::Relaxed);
+        posts[core].try_send(accepted).map_err(|it| {
+            seen.cores[core].open.fetch_sub(1, Ordering::Relaxed);
+            it.into_inner()
+        })
+    };
+    exec.spawn(accept(nursery, listener, limits, server.clone(), hand_on)).detach();
+    Ok(Running { owner, shared, server })
+}
+
+/// The tasks of one core.
+fn work(
+    exec: Exec,
+    index: usize,
+    shared: Arc<Shared>,
+    incoming: Receiver<Accepted>,
+    limits: Limits,
+) -> Rc<Worker> {
+    let worker = Worker::new(exec, index, shared.clone());
+    exec.spawn(worker.clone().pulse()).detach();
+    exec.spawn(worker.clone().run_errands()).detach();
+    exec.spawn(rescue::watch(shared.clone(), index)).detach();
+    let service = Rc::new(Service { worker: worker.clone() });
     let nursery = Nursery::new(exec);
-    exec.spawn(hub.clone().ring()).detach();
-    exec.spawn(hub.clone().follow(true)).detach();
-    exec.spawn(hub.follow(false)).detach();
-    let answering = service.clone();
-    let handler = move |request, _| answering.clone().answer(request);
-    exec.spawn(serve(nursery, listener, limits, server, handler)).detach();
-    Ok(service)
+    exec.spawn(async move {
+        while let Ok(accepted) = incoming.recv().await {
+            let service = service.clone();
+            let core = shared.cores[index].clone();
+            let handler = move |request, line| service.clone().answer(request, line);
+            serve_one(&nursery, accepted, limits, handler, move || {
+                core.open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    })
+    .detach();
+    worker
+}
+
+/// For tests: a core really stands still.
+fn stand_still(running: &Running, stall: Option<(usize, u64)>) {
+    match stall {
+        Some((core, ms)) if core < running.shared.cores.len() => {
+            warn!(core, ms, "standing still, as asked on the command line");
+            _ = running.shared.cores[core].errands.put(Errand::StandStill { ms });
+        }
+        _ => warn!("SIGUSR1 does nothing without --stall CORE:MS"),
+    }
 }
 
 /// Each connection and each set-up that is out takes a descriptor: asks for as many as may be had.
@@ -174,23 +278,24 @@
 }
 
 /// Takes over what can change while it runs; a file with a mistake changes nothing.
-fn reload(path: &Path, running: &Manager, service: &Service) {
+fn reload(path: &Path, manager: &Manager, running: &Running) {
     match read(path) {
         Err(complaints) => {
             for complaint in &complaints {
                 error!(complaint, "the settings were not taken over");
             }
         }
-        Ok((_, manager, keys)) => {
-            if format!("{:?}", manager.terms) != format!("{:?}", running.terms)
-                || manager.listen != running.listen
-            {
-                warn!("ladder, rules, packages, tenants, list and addresses change with a restart only");
+        Ok((_, next, keys)) => {
+            let same = format!("{:?}", next.terms) == format!("{:?}", manager.terms);
+            if !same || next.listen != manager.listen || next.cores != manager.cores {
+                warn!(
+                    "cores, ladder, rules, packages, tenants, list and addresses change with a restart only"
+                );
             }
             // Its keys are not in the record, and what they sign is.
-            service.hub.end_tape();
-            service.hub.front(|it| it.refit(house(&manager, keys.clone())));
-            *service.keys.borrow_mut() = keys;
+            running.owner.end_tape();
+            running.owner.front(|it| it.refit(house(&next, keys.clone())));
+            running.shared.keys.store(Arc::new(keys));
             info!("settings taken over");
         }
     }
--- a/daemon/src/service.rs
+++ b/daemon/src/service.rs
@@ -1,26 +1,25 @@
 //! What players and operators may ask over HTTP.
 
-use crate::hub::Hub;
-use crate::metrics;
+use crate::worker::Worker;
 use form_urlencoded::parse;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CACHE_CONTROL, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use ottersail_front::tape::Told;
 use ottersail_front::{Asked, Reply, WatchId};
-use ottersail_net::{whole, Body, Server};
-use ottersail_tickets::Keys;
-use std::cell::RefCell;
+use ottersail_net::{whole, Body, Line};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 
 /// A title's or watch's name may be so long.
 const MOST_NAME: usize = 100;
 
+/// Until it must be given up, a reload waits for its answer; patience was told with the first request, to the owner.
+const LONGEST: f64 = 120_000.0;
+
 pub struct Service {
-    pub hub: Rc<Hub>,
-    pub keys: RefCell<Keys>,
-    pub server: Rc<Server>,
+    pub worker: Rc<Worker>,
 }
 
 fn said(status: StatusCode, text: impl Into<String>) -> Response<Body> {
@@ -30,7 +29,7 @@
 }
 
 impl Service {
-    pub async fn answer(self: Rc<Service>, request: Request<Incoming>) -> Response<Body> {
+    pub async fn answer(self: Rc<Service>, request: Request<Incoming>, line: Line) -> Response<Body> {
         if request.method() != Method::GET && request.method() != Method::HEAD {
             return said(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here");
         }
@@ -40,24 +39,31 @@
         let trace = request.headers().get("traceparent").and_then(|it| it.to_str().ok());
         let trace = trace.filter(|it| it.len() <= 64).unwrap_or("").to_string();
         if let Some(title) = path.strip_prefix("/watch/") {
-            return self.watch(title, &query, trace).await;
+            return self.watch(title, &query, trace, line).await;
         }
         if let Some(id) = path.strip_prefix("/viewing/").and_then(|it| it.strip_suffix(".m3u8")) {
-            return self.reload(&path, id, &query, trace).await;
+            return self.reload(&path, id, &query, trace, line).await;
         }
         match path.as_str() {
-            "/metrics" => {
-                let (open, away) = (self.server.open.get(), self.server.turned_away.get());
-                let times = self.hub.times.borrow();
-                said(StatusCode::OK, self.hub.front(|it| metrics::page(it, &times, open, away)))
-            }
-            "/ready" if self.hub.listed.get() && self.hub.titled.get() => said(StatusCode::OK, "ready"),
+            "/metrics" => said(StatusCode::OK, self.worker.page().await),
+            "/ready" if self.ready() => said(StatusCode::OK, "ready"),
             "/ready" => said(StatusCode::SERVICE_UNAVAILABLE, "no list yet"),
             _ => said(StatusCode::NOT_FOUND, "there is /watch/TITLE, /ready and /metrics"),
         }
     }
 
-    async fn watch(&self, title: &str, query: &BTreeMap<String, String>, trace: String) -> Response<Body> {
+    fn ready(&self) -> bool {
+        let shared = &self.worker.shared;
+        shared.listed.load(Ordering::Acquire) && shared.titled.load(Ordering::Acquire)
+    }
+
+    async fn watch(
+        &self,
+        title: &str,
+        query: &BTreeMap<String, String>,
+        trace: String,
+        line: Line,
+    ) -> Response<Body> {
         let text = |key: &str| query.get(key).filter(|it| it.len() <= MOST_NAME).cloned();
         let Some(package) = text("package") else {
             return said(StatusCode::BAD_REQUEST, "package=NAME is missing");
@@ -72,7 +78,9 @@
             return said(StatusCode::NOT_FOUND, "no such title");
         }
         let asked = Asked { title: title.to_string(), package, tenant: text("tenant"), best, patience };
-        respond(self.hub.ask(trace, |ask| Told::Asked { ask, asked }).await)
+        // What is out of bounds is refused by the front.
+        let patience = if patience.is_finite() { patience.clamp(50.0, LONGEST) } else { LONGEST };
+        respond(self.worker.ask(line, trace, patience, |ask| Told::Asked { ask, asked }).await).await
     }
 
     async fn reload(
@@ -81,39 +89,67 @@
         id: &str,
         query: &BTreeMap<String, String>,
         trace: String,
+        line: Line,
     ) -> Response<Body> {
         let ticket = query.get("t").map_or("", String::as_str);
-        let checked = self.keys.borrow().check(ticket, id, path, 0, self.hub.clock.now_s());
+        let shared = &self.worker.shared;
+        let checked = shared.keys.load().check(ticket, id, path, 0, shared.clock.now_s());
         if let Err(denial) = checked {
             return said(StatusCode::FORBIDDEN, denial.to_string());
         }
         let unread = query.get("_HLS_msn").and_then(|it| it.parse::<u64>().ok());
         let watch = WatchId(id.to_string());
-        respond(self.hub.ask(trace, |ask| Told::Reloaded { ask, watch, unread }).await)
+        respond(self.worker.ask(line, trace, LONGEST, |ask| Told::Reloaded { ask, watch, unread }).await)
+            .await
     }
 }
 
-fn respond(reply: Reply) -> Response<Body> {
+/// Status, kind of content, seconds to stay away, and text of a reply.
+fn parts(reply: Reply) -> (StatusCode, &'static str, Option<u64>, String) {
+    // The header knows whole seconds only.
+    let seconds = |ms: f64| (ms / 1e3).ceil().clamp(0.0, 86_400.0) as u64;
+    let plain = "text/plain";
     match reply {
-        Reply::Playlist(text) => {
-            let mut response = Response::new(whole(text));
-            let headers = response.headers_mut();
-            headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/vnd.apple.mpegurl"));
-            headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-            response
-        }
+        Reply::Playlist(text) => (StatusCode::OK, "application/vnd.apple.mpegurl", None, text),
         Reply::Blocked { stay_away } => {
-            let mut response = said(StatusCode::SERVICE_UNAVAILABLE, "blocked");
-            if let Some(ms) = stay_away {
-                // The header knows whole seconds only.
-                let seconds = (ms / 1e3).ceil().clamp(0.0, 86_400.0) as u64;
-                response.headers_mut().insert(RETRY_AFTER, seconds.into());
-            }
-            response
+            (StatusCode::SERVICE_UNAVAILABLE, plain, stay_away.map(seconds), "blocked\n".into())
+        }
+        Reply::Aborted { late: true } => {
+            (StatusCode::GATEWAY_TIMEOUT, plain, None, "aborted: no answer in time\n".into())
         }
-        Reply::Aborted { late: true } => said(StatusCode::GATEWAY_TIMEOUT, "aborted: no answer in time"),
-        Reply::Aborted { late: false } => said(StatusCode::BAD_GATEWAY, "aborted: set-ups failed"),
-        Reply::Unfit(what) => said(StatusCode::BAD_REQUEST, what),
-        Reply::Unknown(what) => said(StatusCode::NOT_FOUND, what),
+        Reply::Aborted { late: false } => {
+            (StatusCode::BAD_GATEWAY, plain, None, "aborted: set-ups failed\n".into())
+        }
+        Reply::Unfit(what) => (StatusCode::BAD_REQUEST, plain, None, what + "\n"),
+        Reply::Unknown(what) => (StatusCode::NOT_FOUND, plain, None, what + "\n"),
+    }
+}
+
+async fn respond(reply: Option<Reply>) -> Response<Body> {
+    let Some(reply) = reply else {
+        // Another core has answered and closed the connection; this one writes nothing more.
+        return std::future::pending().await;
+    };
+    let (status, kind, stay_away, text) = parts(reply);
+    let mut response = Response::new(whole(text));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    if let Some(seconds) = stay_away {
+        headers.insert(RETRY_AFTER, seconds.into());
     }
+    response
+}
+
+/// The same as bytes, for a core that answers in another's place.
+pub fn raw(reply: Reply) -> Vec<u8> {
+    let (status, kind, stay_away, text) = parts(reply);
+    let stay_away = stay_away.map_or(String::new(), |it| format!("retry-after: {it}\r\n"));
+    format!(
+        "HTTP/1.1 {status}\r\ncontent-type: {kind}\r\ncache-control: no-store\r\n{stay_away}content-length: {}\r\n\
+         connection: close\r\n\r\n{text}",
+        text.len()
+    )
+    .into_bytes()
 }
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -17,6 +17,8 @@
     pub most_waiting: usize,
     pub most_watches: usize,
     pub connections: usize,
+    /// Threads that hold connections; the first owns placement too.
+    pub cores: usize,
     pub list: String,
     pub service: String,
     pub list_wait: Ms,
@@ -66,6 +68,7 @@
         most_waiting: me.whole_or("most-waiting", 1..=1_000_000, 2_000) as usize,
         most_watches: me.whole_or("most-watches", 1..=10_000_000, 100_000) as usize,
         connections: me.whole_or("connections", 1..=1_000_000, 8_000) as usize,
+        cores: cores(&me),
         list: list.address("address"),
         service: list.text("service"),
         list_wait: Ms(list.number_or("wait-ms", 100.0..=600_000.0, 10_000.0)),
@@ -88,6 +91,16 @@
     }
 }
 
+/// `auto` is as many as the machine has.
+fn cores(me: &Section) -> usize {
+    match me.get("cores") {
+        Some("auto") => std::thread::available_parallelism().map_or(1, usize::from).min(MOST_CORES as usize),
+        _ => me.whole_or("cores", 1..=MOST_CORES, 1) as usize,
+    }
+}
+
+const MOST_CORES: u64 = 64;
+
 /// The terms of a manager, by number, count and zone, from the sections that a day's file has too.
 pub fn terms(sheet: &Sheet, (number, managers, zone): (u64, u64, &str)) -> Terms {
     let ladder = sheet.section("ladder");
@@ -186,15 +199,17 @@
     pub grace: Ms,
     pub list_wait: Ms,
     pub silence: Ms,
+    pub cores: usize,
 }
 
 /// Writes a manager's file; [`read_manager`] reads the same terms from it.
 pub fn write_manager(terms: &Terms, post: &Post) -> String {
     let join = |all: &[f64]| all.iter().map(f64::to_string).collect::<Vec<_>>().join(", ");
-    let Post { listen, list, keys, grace, list_wait, silence } = post;
+    let Post { listen, list, keys, grace, list_wait, silence, cores } = post;
     let places: Vec<String> = terms.places.iter().map(|(kind, places)| format!("{kind}:{places}")).collect();
     let mut text = format!(
-        "[manager]\nnumber = {}\nmanagers = {}\nzone = {}\nlisten = {listen}\nkeys = {keys}\n\n\
+        "[manager]\nnumber = {}\nmanagers = {}\nzone = {}\nlisten = {listen}\nkeys = {keys}\n\
+         cores = {cores}\n\n\
          [list]\naddress = {list}\nservice = streaming\nwait-ms = {}\n\n[servers]\nsilence-ms = {}\n\n",
         terms.me.0, terms.managers, terms.zone, list_wait.0, silence.0
     );
@@ -283,6 +298,7 @@
             grace: Ms(1000.0),
             list_wait: Ms(2000.0),
             silence: Ms(3000.0),
+            cores: 1,
         };
         let again = read(&write_manager(&first.terms, &post)).unwrap();
         assert_eq!(format!("{first:?}"), format!("{again:?}"));
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -576,6 +576,11 @@
         self.desk.seats.len()
     }
 
+    /// True while anything is owed or held for a viewing.
+    pub fn holds(&self, vw: &ViewingId) -> bool {
+        self.desk.seats.contains_key(vw)
+    }
+
     pub fn servers(&self) -> usize {
         self.desk.roster.len()
     }
--- a/judge/src/record.rs
+++ b/judge/src/record.rs
@@ -153,6 +153,13 @@
     ManagerContinued {
         manager: usize,
     },
+    /// One core of a manager stands still, the others go on.
+    CoreStopped {
+        manager: usize,
+    },
+    CoreContinued {
+        manager: usize,
+    },
     /// A fault was caused or taken back.
     Fault {
         name: String,
--- a/judge/src/rules.rs
+++ b/judge/src/rules.rs
@@ -80,6 +80,14 @@
     let mut count = |name| *counts.entry(name).or_insert(0) += 1;
     let set_up: BTreeSet<u64> = setups.iter().map(|it| it.ask).collect();
     let mut reloads = BTreeSet::new();
+    let sent: BTreeMap<u64, (usize, f64)> = lines
+        .iter()
+        .filter_map(|line| match &line.event {
+            Event::Asked { ask, manager, .. } => Some((*ask, (*manager, line.at))),
+            _ => None,
+        })
+        .collect();
+    let unread = |ask: u64, until: f64| sent.get(&ask).is_some_and(|it| runs.partly_still(it.0, it.1, until));
     for line in lines {
         match &line.event {
             Event::Asked { first: true, .. } => count("asked"),
@@ -102,6 +110,9 @@
                 }
             }
             Event::Left { .. } => count("left"),
+            Event::GaveUp { ask } | Event::Broke { ask } if unread(*ask, line.at) => {
+                count("unread at a still core");
+            }
             Event::Broke { .. } => count("connections broken"),
             Event::Fell { .. } => count("servers fallen"),
             Event::TicketDenied { .. } => count("tickets denied"),
@@ -128,11 +139,13 @@
 struct Runs {
     dead: BTreeMap<usize, Vec<(f64, f64)>>,
     stopped: BTreeMap<usize, Vec<(f64, f64)>>,
+    /// When one of its cores stood still.
+    partly: BTreeMap<usize, Vec<(f64, f64)>>,
 }
 
 impl Runs {
     fn of(lines: &[Line]) -> Runs {
-        let mut runs = Runs { dead: BTreeMap::new(), stopped: BTreeMap::new() };
+        let mut runs = Runs { dead: BTreeMap::new(), stopped: BTreeMap::new(), partly: BTreeMap::new() };
         for line in lines {
             match &line.event {
                 Event::ManagerKilled { manager } => {
@@ -146,6 +159,14 @@
                 Event::ManagerStopped { manager } => {
                     runs.stopped.entry(*manager).or_default().push((line.at, f64::INFINITY));
                 }
+                Event::CoreStopped { manager } => {
+                    runs.partly.entry(*manager).or_default().push((line.at, f64::INFINITY));
+                }
+                Event::CoreContinued { manager } => {
+                    if let Some(last) = runs.partly.get_mut(manager).and_then(|it| it.last_mut()) {
+                        last.1 = last.1.min(line.at);
+                    }
+                }
                 Event::ManagerContinued { manager } => {
                     if let Some(last) = runs.stopped.get_mut(manager).and_then(|it| it.last_mut()) {
                         last.1 = last.1.min(line.at);
@@ -163,6 +184,11 @@
             .is_some_and(|it| it.iter().any(|it| it.0 <= to + SLACK && it.1 >= from - SLACK))
     }
 
+    /// A request that lay unread on a connection of a core that stood still was not taken by anybody.
+    fn partly_still(&self, manager: usize, from: f64, to: f64) -> bool {
+        self.partly.get(&manager).is_some_and(|it| it.iter().any(|it| it.0 <= to && it.1 >= from))
+    }
+
     fn died_at(&self, manager: usize) -> impl Iterator<Item = f64> + '_ {
         self.dead.get(&manager).into_iter().flatten().map(|it| it.0)
     }
@@ -228,6 +254,7 @@
                 };
                 it.settled = true;
                 let excused = runs.died_within(it.manager, it.at, line.at)
+                    || runs.partly_still(it.manager, it.at, line.at)
                     || runs.run_for(it.manager, it.at, it.patience) > it.at + it.patience + SLACK;
                 if !excused {
                     let how = if matches!(line.event, Event::Broke { .. }) {
--- a/judge/src/rules/tests.rs
+++ b/judge/src/rules/tests.rs
@@ -87,6 +87,8 @@
 #[test_case(vec![(1000.0, Event::GaveUp { ask: 1 })] => vec![1]; "none")]
 #[test_case(vec![(500.0, Event::Broke { ask: 1 })] => vec![1]; "cut off")]
 #[test_case(vec![] => vec![1]; "never settled")]
+#[test_case(vec![(100.0, Event::CoreStopped { manager: 0 }), (1000.0, Event::GaveUp { ask: 1 })] => Vec::<u8>::new(); "unread at a core that stood still")]
+#[test_case(vec![(100.0, Event::CoreStopped { manager: 0 }), (1300.0, answered(1, 503))] => vec![1]; "taken by a core that stood still, and late")]
 #[test_case(vec![(9000.0, Event::ManagerKilled { manager: 0 })] => vec![1]; "never settled, and its manager died later")]
 #[test_case(vec![(500.0, Event::Left { ask: 1 })] => Vec::<u8>::new(); "the viewer left")]
 #[test_case(vec![(400.0, Event::ManagerKilled { manager: 0 }), (500.0, Event::Broke { ask: 1 })] => Vec::<u8>::new(); "its manager was killed")]
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -8,7 +8,7 @@
 pub use client::{Answer, Client, Events, Failure};
 pub use clock::Clock;
 pub use nursery::Nursery;
-pub use server::{serve, Limits, Server};
+pub use server::{accept, serve, serve_one, Accepted, Limits, Line, Server};
 
 use async_executor::LocalExecutor;
 use bytes::Bytes;
--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -1,16 +1,18 @@
 use crate::{Body, Nursery};
 use async_io::{Async, Timer};
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::fs::File;
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tracing::{debug, warn};
 
@@ -22,11 +24,18 @@
     pub head: Duration,
 }
 
-/// What all who serve on a listener share.
+/// What all who serve the connections of a listener share, on one thread or several.
+#[derive(Debug, Default)]
 pub struct Server {
-    pub open: Cell<usize>,
-    /// Connections answered 503 because no more could be held.
-    pub turned_away: Cell<u64>,
+    open: AtomicUsize,
+    turned_away: AtomicU64,
+}
+
+/// A connection that was accepted, and counts as open until it is dropped.
+pub struct Accepted {
+    pub stream: TcpStream,
+    pub peer: SocketAddr,
+    held: Held,
 }
 
 const NO_ROOM: &[u8] =
@@ -36,17 +45,33 @@
 /// What is turned away gets its answer within this time, or none.
 const PARTING: Duration = Duration::from_millis(500);
 
-/// Accepts connections for ever. A handler's future is dropped when its client closes the connection.
+/// Accepts connections for ever and serves them. A handler's future is dropped when its client closes the connection.
 pub async fn serve<H, F>(
     nursery: Nursery,
     listener: Async<TcpListener>,
     limits: Limits,
-    server: Rc<Server>,
+    server: Arc<Server>,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, Line) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
+    let on = nursery.clone();
+    accept(nursery, listener, limits, server, move |accepted| {
+        serve_one(&on, accepted, limits, handler.clone(), || ());
+        Ok(())
+    })
+    .await;
+}
+
+/// Accepts connections for ever and hands each on; one that is handed back is answered 503.
+pub async fn accept(
+    nursery: Nursery,
+    listener: Async<TcpListener>,
+    limits: Limits,
+    server: Arc<Server>,
+    mut hand_on: impl FnMut(Accepted) -> Result<(), Accepted>,
+) {
     // When file descriptors run out, this one is given up for as long as it takes to say so to the next client.
     let spare = || File::open("/dev/null").ok();
     let mut reserve = spare();
@@ -57,7 +82,7 @@
                 debug!(%trouble, "accept");
                 if reserve.take().is_some() {
                     if let Some(Ok((stream, _))) = ready(listener.accept()).await {
-                        server.turned_away.set(server.turned_away.get() + 1);
+                        server.turned_away.fetch_add(1, Ordering::Relaxed);
                         // Not awaited: the descriptor must be free again at once.
                         _ = std::io::Write::write(&mut stream.get_ref(), NO_ROOM);
                     }
@@ -73,47 +98,124 @@
         if reserve.is_none() {
             reserve = spare();
         }
-        if server.open.get() >= limits.connections {
-            server.turned_away.set(server.turned_away.get() + 1);
+        if server.open() >= limits.connections {
+            server.turned_away.fetch_add(1, Ordering::Relaxed);
             turn_away(&nursery, stream);
             continue;
         }
         _ = stream.get_ref().set_nodelay(true);
-        let held = Held::new(&server);
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let answer = handler(request, peer);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-        nursery.spawn(async move {
-            let _held = held;
-            let mut builder = hyper::server::conn::http1::Builder::new();
-            builder.timer(SmolTimer::new()).header_read_timeout(limits.head).max_buf_size(64 * 1024);
-            if let Err(trouble) = builder.serve_connection(FuturesIo::new(stream), service).await {
-                debug!(%peer, %trouble, "connection");
+        // It is registered anew with the thread that serves it.
+        let Ok(stream) = stream.into_inner() else {
+            continue;
+        };
+        let accepted = Accepted { stream, peer, held: Held::new(&server) };
+        if let Err(Accepted { stream, .. }) = hand_on(accepted) {
+            server.turned_away.fetch_add(1, Ordering::Relaxed);
+            if let Ok(stream) = Async::new(stream) {
+                turn_away(&nursery, stream);
             }
-        });
+        }
     }
 }
 
-struct Held(Rc<Server>);
+/// Serves a connection until it closes, and then calls `closed`.
+pub fn serve_one<H, F>(
+    nursery: &Nursery,
+    accepted: Accepted,
+    limits: Limits,
+    handler: H,
+    closed: impl FnOnce() + 'static,
+) where
+    H: Fn(Request<Incoming>, Line) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    let Accepted { stream, peer, held } = accepted;
+    let Ok(stream) = Async::new(stream) else {
+        return;
+    };
+    let line = Line { stream: Arc::new(stream), peer };
+    let own = line.clone();
+    let service = service_fn(move |request| {
+        let answer = handler(request, own.clone());
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    nursery.spawn(async move {
+        let _held = held;
+        let mut builder = hyper::server::conn::http1::Builder::new();
+        builder.timer(SmolTimer::new()).header_read_timeout(limits.head).max_buf_size(64 * 1024);
+        if let Err(trouble) = builder.serve_connection(FuturesIo::new(line), service).await {
+            debug!(%peer, %trouble, "connection");
+        }
+        closed();
+    });
+}
+
+/// A connection, as its handler sees it: by a clone another thread may end it in the handler's place.
+#[derive(Clone)]
+pub struct Line {
+    stream: Arc<Async<TcpStream>>,
+    pub peer: SocketAddr,
+}
+
+impl Line {
+    /// Writes an answer past the one who serves the connection, and closes it. To be done only by who has won the
+    /// right to answer; whoever serves it writes nothing more.
+    pub fn answer_and_close(&self, bytes: &[u8]) -> std::io::Result<()> {
+        let mut socket = self.stream.get_ref();
+        // It does not wait: an answer fits what a socket holds, unless its client reads nothing.
+        let written = std::io::Write::write_all(&mut socket, bytes);
+        written.and(socket.shutdown(Shutdown::Both))
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, bytes: &mut [u8]) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut &*self.stream).poll_read(cx, bytes)
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut &*self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut &*self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut &*self.stream).poll_close(cx)
+    }
+}
+
+struct Held(Arc<Server>);
 
 impl Held {
-    fn new(server: &Rc<Server>) -> Held {
-        server.open.set(server.open.get() + 1);
+    fn new(server: &Arc<Server>) -> Held {
+        server.open.fetch_add(1, Ordering::Relaxed);
         Held(server.clone())
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl Server {
-    pub fn new() -> Rc<Server> {
-        Rc::new(Server { open: Cell::new(0), turned_away: Cell::new(0) })
+    pub fn new() -> Arc<Server> {
+        Arc::default()
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Connections answered 503 because no more could be held.
+    pub fn turned_away(&self) -> u64 {
+        self.turned_away.load(Ordering::Relaxed)
     }
 }
 
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -129,6 +129,8 @@
     ManagerKill "manager-kill",
     /// One after the other from start to end, each killed and down for `size` seconds.
     ManagerRoll "manager-roll",
+    /// The last core of a manager stands still for `size` seconds.
+    CoreStall "core-stall",
     /// Stopped, and at the end everything comes at once.
     ManagerStall "manager-stall",
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -343,6 +343,7 @@
             | Kind::Forgers
             | Kind::ManagerKill
             | Kind::ManagerRoll
+            | Kind::CoreStall
             | Kind::ManagerStall
     );
     if !ours {
