--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -1,5 +1,5 @@
-//! One manager on one thread, servers and list on a second, an open-loop load on a third and fourth: arrivals do not
-//! wait for answers, and a time to the answer counts from when the request was due.
+//! One manager in a process of its own, servers and list on a thread here, an open-loop load on two more: arrivals do
+//! not wait for answers, and a time to the answer counts from when the request was due.
 
 use crate::baseline::{RandomPick, Timed};
 use crate::library::{keys, listed, manager, titles, PLAYLIST, TITLES};
@@ -15,6 +15,7 @@
 use rustix::time::{clock_gettime, ClockId};
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -22,12 +23,6 @@
 const LIMITS: Limits = Limits { connections: 60_000, head: Duration::from_secs(60) };
 const BOUND_MS: f64 = 50.0;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Pick {
-    Module,
-    Random,
-}
-
 /// What a run at one rate showed: milliseconds, counts, and microseconds a set-up of the manager's thread in all, in
 /// its front, in the decisions.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,13 +54,13 @@
     }
 }
 
-pub fn measure(seconds: f64, servers: usize, from: f64) {
-    println!("one manager on one core, {servers} servers, load and servers on the same machine, {seconds} s a rate");
+pub fn measure(seconds: f64, servers: usize, from: f64, cores: usize) {
+    println!("one manager on {cores} cores, {servers} servers, load and servers on the same machine, {seconds} s a rate");
     println!("pick     rate/s   p50 ms   p99 ms  p99.9 ms  refused  failed   held   us a set-up: all   front  decisions");
     for pick in ["module", "random"] {
         let mut rate = from;
         let mut best: Option<f64> = None;
-        while let Some(shown) = apart(pick, rate, seconds, servers) {
+        while let Some(shown) = apart(pick, rate, seconds, (servers, cores)) {
             print(pick, &shown);
             if shown.p99 > BOUND_MS || shown.failed * 100.0 > shown.answered {
                 break;
@@ -77,7 +72,7 @@
             None => println!("the first rate is already too much"),
             Some(best) => {
                 println!("p99 stays within {BOUND_MS} ms up to {best:.0} a second; at half of that:");
-                if let Some(shown) = apart(pick, best / 2.0, seconds, servers) {
+                if let Some(shown) = apart(pick, best / 2.0, seconds, (servers, cores)) {
                     print(pick, &shown);
                 }
             }
@@ -86,9 +81,10 @@
 }
 
 /// Each rate in a process of its own, so that none inherits another's sockets or memory.
-fn apart(pick: &str, rate: f64, seconds: f64, servers: usize) -> Option<Shown> {
+fn apart(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Option<Shown> {
     let program = std::env::current_exe().ok()?;
-    let arguments = [pick.to_string(), rate.to_string(), seconds.to_string(), servers.to_string()];
+    let arguments =
+        [pick.to_string(), rate.to_string(), seconds.to_string(), servers.to_string(), cores.to_string()];
     let output = std::process::Command::new(program).arg("at-rate").args(arguments).output().ok()?;
     let text = String::from_utf8_lossy(&output.stdout);
     let figures: Vec<f64> = text.split_whitespace().filter_map(|it| it.parse().ok()).collect();
@@ -100,10 +96,9 @@
 }
 
 /// One rate, its figures on standard output.
-pub fn at_rate(pick: &str, rate: f64, seconds: f64, servers: usize) {
+pub fn at_rate(pick: &str, rate: f64, seconds: f64, servers: usize, cores: usize) {
     ottersail_daemon::run::raise_files(0);
-    let pick = if pick == "module" { Pick::Module } else { Pick::Random };
-    let shown = run(pick, rate, seconds, servers);
+    let shown = run(pick, rate, seconds, (servers, cores));
     println!("{}", shown.figures().map(|it| it.to_string()).join(" "));
 }
 
@@ -114,20 +109,28 @@
     );
 }
 
+/// Of all threads of this process.
 fn cpu() -> Duration {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let time = clock_gettime(ClockId::ProcessCPUTime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
-fn run(pick: Pick, rate: f64, seconds: f64, servers: usize) -> Shown {
+fn run(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Shown {
     let (ready, is_ready) = mpsc::channel();
     let (stop_servers, stopped) = mpsc::channel();
     let fleet = std::thread::spawn(move || fleet(servers, ready, stopped));
     let list = is_ready.recv().expect("the servers start");
     let address = TcpListener::bind("127.0.0.1:0").and_then(|it| it.local_addr()).expect("a port");
-    let (stop_manager, stopped) = mpsc::channel();
-    let (told, figures) = mpsc::channel();
-    let managing = std::thread::spawn(move || manage(pick, servers, address, list, stopped, told));
+    let program = std::env::current_exe().expect("this program");
+    let arguments =
+        [pick.to_string(), servers.to_string(), cores.to_string(), address.to_string(), list.to_string()];
+    let mut managing = Command::new(program)
+        .arg("manage")
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the manager starts");
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(10) && !load_once(address) {
         std::thread::sleep(Duration::from_millis(20));
@@ -140,12 +143,16 @@
         times.add(&part).expect("equal bounds");
         (refused, failed) = (refused + r, failed + f);
     }
-    drop(stop_manager);
-    let (spent, front, decisions, held, count) = figures.recv().expect("the manager's figures");
-    _ = managing.join();
+    // It ends when its input does, and tells its figures.
+    drop(managing.stdin.take());
+    let output = managing.wait_with_output().expect("the manager ends");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let figures: Vec<f64> = text.split_whitespace().filter_map(|it| it.parse().ok()).collect();
+    let &[cpu, front, decisions, held] = &figures[..] else {
+        panic!("the manager's figures: {text:?}");
+    };
     drop(stop_servers);
     _ = fleet.join();
-    let each = |it: Duration| it.as_secs_f64() * 1e6 / count.max(1) as f64;
     let ms = |part: f64| times.value_at_quantile(part) as f64 / 1e3;
     Shown {
         rate,
@@ -155,10 +162,10 @@
         refused: refused as f64,
         failed: failed as f64,
         answered: times.len() as f64,
-        held: held as f64,
-        cpu: each(spent),
-        front: each(front),
-        decisions: each(decisions),
+        held,
+        cpu,
+        front,
+        decisions,
     }
 }
 
@@ -173,40 +180,42 @@
     }
 }
 
-type Figures = (Duration, Duration, Duration, usize, u64);
-
-fn manage(
-    pick: Pick,
-    servers: usize,
-    address: SocketAddr,
-    list: SocketAddr,
-    stopped: mpsc::Receiver<()>,
-    told: mpsc::Sender<Figures>,
-) {
-    let manager = manager(servers, &address.to_string(), &list.to_string(), 2_000_000.0);
+/// A manager until its input ends; then microseconds of CPU a set-up, in all, in its front, in the decisions, and how
+/// many viewings it holds, on standard output.
+pub fn manage(pick: &str, servers: usize, cores: usize, address: &str, list: &str) {
+    ottersail_daemon::run::raise_files(0);
+    let mut manager = manager(servers, address, list, 2_000_000.0);
+    manager.cores = cores;
     let clock = Clock::start();
     let exec = executor();
     let spent: Rc<Cell<Duration>> = Rc::default();
-    let timed = spent.clone();
+    let (timed, random) = (spent.clone(), pick == "random");
     let front = Front::with(
         Ms(clock.now()),
         manager.terms.clone(),
         house(&manager, keys()),
         &mut ottersail_daemon::run::NoOrders,
         move |terms, out| {
-            let of: Box<dyn Decisions> = match pick {
-                Pick::Module => Box::new(Brain::born(Ms(clock.now()), 1, terms, out)),
-                Pick::Random => Box::new(RandomPick::new(terms)),
+            let of: Box<dyn Decisions> = if random {
+                Box::new(RandomPick::new(terms))
+            } else {
+                Box::new(Brain::born(Ms(clock.now()), 1, terms, out))
             };
             Box::new(Timed { of, spent: timed })
         },
     );
     let running = start(exec, clock, &manager, keys(), front, None).expect("the manager starts");
+    let (stop, stopped) = mpsc::channel::<()>();
+    std::thread::spawn(move || {
+        _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        drop(stop);
+    });
     let before = cpu();
     async_io::block_on(exec.run(until(stopped)));
     let owner = &running.owner;
-    let (held, count) = owner.front(|it| (it.viewings(), it.counts().asked));
-    _ = told.send((cpu() - before, owner.spent.get(), spent.get(), held, count));
+    let (held, count) = owner.front(|it| (it.viewings(), it.counts().asked.max(1)));
+    let each = |it: Duration| it.as_secs_f64() * 1e6 / count as f64;
+    println!("{} {} {} {held}", each(cpu() - before), each(owner.spent.get()), each(spent.get()));
 }
 
 type Sender = async_channel::Sender<bytes::Bytes>;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -26,10 +26,16 @@
         /// The first rate tried, set-ups a second.
         #[arg(long, default_value_t = 400.0)]
         from: f64,
+        /// Cores of the manager.
+        #[arg(long, default_value_t = 1)]
+        cores: usize,
     },
     /// One rate of `loopback`, for its own use.
     #[command(hide = true)]
-    AtRate { pick: String, rate: f64, seconds: f64, servers: usize },
+    AtRate { pick: String, rate: f64, seconds: f64, servers: usize, cores: usize },
+    /// The manager of `loopback`, for its own use.
+    #[command(hide = true)]
+    Manage { pick: String, servers: usize, cores: usize, address: String, list: String },
     /// A decision's cost in the library, by viewings held.
     Decision {
         #[arg(long, default_values_t = [280, 2_800, 28_000])]
@@ -44,8 +50,13 @@
 
 fn main() {
     match Line::parse().what {
-        What::Loopback { seconds, servers, from } => loopback::measure(seconds, servers, from),
-        What::AtRate { pick, rate, seconds, servers } => loopback::at_rate(&pick, rate, seconds, servers),
+        What::Loopback { seconds, servers, from, cores } => loopback::measure(seconds, servers, from, cores),
+        What::AtRate { pick, rate, seconds, servers, cores } => {
+            loopback::at_rate(&pick, rate, seconds, servers, cores);
+        }
+        What::Manage { pick, servers, cores, address, list } => {
+            loopback::manage(&pick, servers, cores, &address, &list);
+        }
         What::Decision { held } => library::decision(&held),
         What::Memory { viewings } => library::memory(&viewings),
     }
--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -205,13 +205,15 @@
 
 #[test]
 fn every_day_that_is_kept_can_be_read() {
-    let days = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../days")).unwrap();
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../days");
     let mut count = 0;
-    for day in days {
-        let path = day.unwrap().path();
-        let output = program().arg("check").arg(&path).output().unwrap();
-        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-        count += 1;
+    for folder in [folder.to_string(), format!("{folder}/cores")] {
+        let files = std::fs::read_dir(folder).unwrap().map(|it| it.unwrap().path());
+        for path in files.filter(|it| it.extension().is_some_and(|it| it == "ini")) {
+            let output = program().arg("check").arg(&path).output().unwrap();
+            assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+            count += 1;
+        }
     }
-    assert!(count >= 6);
+    assert!(count >= 9);
 }
