Among equals the viewing that steps is chosen by its id, not by its rung

The property test compared only their order; it now wants the same viewing. A kind's members are kept by id.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -339,7 +339,8 @@
     /// is this manager's is made with that chance: one lot is drawn for each note, so that all managers
     /// together change by what the note asks.
     fn step(&mut self, out: &mut dyn Answers) -> bool {
-        let Some(id) = self.held_at.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone()) else {
+        let due = self.held_at.iter().take_while(|it| it.0 <= self.now).map(|it| &it.1);
+        let Some(id) = due.min().cloned() else {
             return false;
         };
         let (now, next) = (self.now, self.now + self.beat());
@@ -357,7 +358,8 @@
         let above = asks / it.own.1 / (self.own.0 / self.own.1);
         let changed = if broken {
             let may = |it: &(Asker, &ViewingId)| it.0.rung > self.terms.packages[it.0.package.0].floor;
-            let top = it.census.playing().filter(may).max_by(|a, b| self.goes_down(&a.0, &b.0));
+            let top = it.census.playing().filter(may);
+            let top = top.max_by(|a, b| self.goes_down(&a.0, &b.0).then(a.1.cmp(b.1)));
             let short = asks - self.capacity(&id, EASED);
             let part = |it: &(Asker, &ViewingId)| {
                 let less = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 - 1));
@@ -366,7 +368,7 @@
             top.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 - 1))
         } else if settled {
             let low = it.census.playing().filter(|it| it.0.rung < it.0.best);
-            let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0));
+            let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0).then(a.1.cmp(b.1)));
             let room = self.capacity(&id, UP_FILL) - asks;
             let free = self.free_kb(&id, UP_FILL);
             let part = |it: &(Asker, &ViewingId)| {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -605,11 +605,13 @@
             let census = &it.servers[id].census;
             prop_assert_eq!(whole(&census.counts()), counted(rows.iter().copied()));
             prop_assert!((it.bound(&census.counts()) - bound(it, &rows)).abs() < 1e-6);
-            let plays = |it: &&(ViewingId, Asker), of: &Brain| of.viewings[&it.0].phase == Phase::Playing;
-            let top = plainly.iter().filter(|row| plays(row, it)).max_by(|a, b| it.goes_down(&a.1, &b.1));
-            let found = census.playing().max_by(|a, b| it.goes_down(&a.0, &b.0));
-            let order = top.zip(found.as_ref()).map(|(a, b)| it.goes_down(&a.1, &b.0));
-            prop_assert!(order.is_none_or(Ordering::is_eq) && top.is_some() == found.is_some());
+            // Also among equals the same one goes: by its id, as good as any, and not by its rung.
+            let plays = |row: &&(ViewingId, Asker)| it.viewings[&row.0].phase == Phase::Playing;
+            for order in [Brain::goes_down, Brain::goes_up] {
+                let plain = plainly.iter().filter(plays).max_by(|a, b| order(it, &a.1, &b.1));
+                let kept = census.playing().max_by(|a, b| order(it, &a.0, &b.0).then(a.1.cmp(b.1)));
+                prop_assert_eq!(plain.map(|it| &it.0), kept.map(|it| it.1));
+            }
             let mut one_by_one = rows.clone();
             split(it, &mut one_by_one, capacity, lot);
             let at_once = it.split(&census.counts(), capacity, lot);
--- a/src/census.rs
+++ b/src/census.rs
@@ -19,7 +19,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Rank {
-    count: usize,
+    all: BTreeSet<ViewingId>,
     playing: BTreeSet<ViewingId>,
 }
 
@@ -32,7 +32,7 @@
 impl Census {
     pub fn add(&mut self, asker: Asker, vw: &ViewingId, playing: bool) {
         let rank = self.ranks.entry(asker).or_default();
-        rank.count += 1;
+        rank.all.insert(vw.clone());
         if playing {
             rank.playing.insert(vw.clone());
         }
@@ -40,9 +40,9 @@
 
     pub fn remove(&mut self, asker: Asker, vw: &ViewingId) {
         if let Some(rank) = self.ranks.get_mut(&asker) {
-            rank.count -= 1;
+            rank.all.remove(vw);
             rank.playing.remove(vw);
-            if rank.count == 0 {
+            if rank.all.is_empty() {
                 self.ranks.remove(&asker);
             }
         }
@@ -53,7 +53,7 @@
     }
 
     pub fn counts(&self) -> Vec<Counted> {
-        self.ranks.iter().map(|(asker, rank)| (*asker, rank.count as f64)).collect()
+        self.ranks.iter().map(|(asker, rank)| (*asker, rank.all.len() as f64)).collect()
     }
 
     /// Of each kind of asker one that plays, where any does.
