Each thread waits for its own sockets; the owner sends set-ups while it has room

CPU a set-up grew by 60 in 100 from one core to four: one reactor for all threads made 16,000 switches of its own in nine thousand set-ups, and each set-up crossed threads four times.

net/ has a reactor a thread now (epoll with edges, so that waiting again costs no call; timers; a bell that writes only to a thread that sleeps, checked by loom at two and three threads). A new viewing's errands are done by the owner of placement while it is busy for less than half of its time, else by the core that holds the connection (cores::Room). When a core counts as still and who answers for it then moved into cores::vigil; the last look before the last call answers, since the next would come too late at short patience.

--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -3,14 +3,15 @@
 
 use crate::baseline::{RandomPick, Timed};
 use crate::library::{keys, listed, manager, titles, PLAYLIST, TITLES};
-use async_io::{Async, Timer};
 use hdrhistogram::Histogram;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use ottersail_daemon::run::{house, start};
 use ottersail_front::decisions::Decisions;
 use ottersail_front::{Brain, Front, Ms};
-use ottersail_net::{executor, flowing, serve, whole, Body, Client, Clock, Limits, Nursery, Server};
+use ottersail_net::{
+    block_on, executor, flowing, serve, whole, Body, Client, Clock, Limits, Listener, Nursery, Server, Timer,
+};
 use ottersail_wire::catalogue::{write_servers, write_titles, INDEX_HEADER};
 use rustix::time::{clock_gettime, ClockId};
 use std::cell::{Cell, RefCell};
@@ -211,7 +212,7 @@
         drop(stop);
     });
     let before = cpu();
-    async_io::block_on(exec.run(until(stopped)));
+    block_on(exec.run(until(stopped)));
     let owner = &running.owner;
     let (held, count) = owner.front(|it| (it.viewings(), it.counts().asked.max(1)));
     let each = |it: Duration| it.as_secs_f64() * 1e6 / count as f64;
@@ -224,7 +225,7 @@
 fn fleet(servers: usize, ready: mpsc::Sender<SocketAddr>, stopped: mpsc::Receiver<()>) {
     let exec = executor();
     let nursery = Nursery::new(exec);
-    let open = || Async::<TcpListener>::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
+    let open = || Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
     let mut rows = Vec::new();
     for ix in 0..servers {
         let listener = open();
@@ -272,7 +273,7 @@
     };
     nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
     _ = ready.send(address);
-    async_io::block_on(exec.run(until(stopped)));
+    block_on(exec.run(until(stopped)));
     nursery.end();
 }
 
@@ -281,7 +282,7 @@
     let client = Client::new(exec, Duration::from_millis(200), 0, Duration::ZERO);
     let to = address.to_string();
     let ask = client.exchange(&to, Client::request(Method::GET, &to, "/ready"), 1 << 16, || true);
-    async_io::block_on(exec.run(ask)).is_ok_and(|it| it.status == StatusCode::OK)
+    block_on(exec.run(ask)).is_ok_and(|it| it.status == StatusCode::OK)
 }
 
 /// Arrivals by chance at that rate; times from when each was due.
@@ -291,7 +292,7 @@
     let shared = Rc::new(RefCell::new((histogram(), 0u64, 0u64)));
     let out = Rc::new(Cell::new(0usize));
     let mut rng = fastrand::Rng::with_seed(seed);
-    async_io::block_on(exec.run(async {
+    block_on(exec.run(async {
         let began = Instant::now();
         let mut at = began;
         while at < began + Duration::from_secs_f64(seconds) {
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -4,11 +4,11 @@
 use crate::metrics::{page, Times};
 use crate::post::{Core, Errand, News, Slot};
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
+use ottersail_cores::Room;
 use ottersail_front::ids::{Rung, ServerId, ViewingId};
 use ottersail_front::tape::{Scribe, Told};
 use ottersail_front::{AskId, Front, Ms, Orders, Reply, SetUp};
-use ottersail_net::{Clock, Server};
+use ottersail_net::{slept, Clock, Server, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -31,6 +31,7 @@
     /// The core that sees to a viewing, from its first set-up on: what is done for one viewing is done in order, so
     /// that a set-up is closed before the next goes out, also where its core stands still in between.
     homes: RefCell<BTreeMap<ViewingId, usize>>,
+    room: RefCell<Room>,
     sweep_homes_at: Cell<usize>,
     armed: Cell<f64>,
     rearm: (Sender<()>, Receiver<()>),
@@ -81,6 +82,7 @@
             slots: RefCell::default(),
             cores,
             homes: RefCell::default(),
+            room: RefCell::new(Room::new(clock.now())),
             sweep_homes_at: Cell::new(1024),
             armed: Cell::new(f64::INFINITY),
             rearm: async_channel::bounded(1),
@@ -208,9 +210,12 @@
         self.homes.borrow().get(vw).copied().unwrap_or(0)
     }
 
-    /// A viewing's core is the one that holds its viewer's connection.
+    /// Settles which core does a viewing's errands from now on.
     fn settle_at(&self, vw: &ViewingId, ask: Option<AskId>) {
-        let core = ask.map_or(0, |it| it.0 as usize % self.cores.len());
+        let asker = ask.map_or(0, |it| it.0 as usize % self.cores.len());
+        let mut room = self.room.borrow_mut();
+        room.look(self.clock.now(), slept().as_secs_f64() * 1e3);
+        let core = room.home(asker);
         self.homes.borrow_mut().entry(vw.clone()).or_insert(core);
     }
 
--- a/daemon/src/post.rs
+++ b/daemon/src/post.rs
@@ -1,7 +1,7 @@
 //! What goes between the owner of placement and the cores that hold connections.
 
 use async_channel::{Receiver, Sender};
-use ottersail_cores::Claim;
+use ottersail_cores::{vigil, Claim};
 use ottersail_front::tape::Told;
 use ottersail_front::{AskId, Reply};
 use ottersail_net::Line;
@@ -133,8 +133,8 @@
         self.moved.store(now as u64, Ordering::Release);
     }
 
-    pub fn still_for(&self, now: f64) -> f64 {
-        now - self.moved.load(Ordering::Acquire) as f64
+    pub fn is_still(&self, now: f64) -> bool {
+        vigil::is_still(now, self.moved.load(Ordering::Acquire) as f64)
     }
 }
 
@@ -154,7 +154,7 @@
         let errand = Errand::ChangeRung { vw: String::new(), address: String::new(), rung: 1 };
         assert!(outbox.put(errand), "what is not an end is kept");
         assert_eq!(outbox.waiting(), MOST_ERRANDS + 1);
-        let taken = async_io::block_on(outbox.take());
+        let taken = ottersail_net::block_on(outbox.take());
         assert_eq!((taken.len(), outbox.waiting()), (MOST_ERRANDS + 1, 0));
         assert!(outbox.put(let_go(0)));
     }
--- a/daemon/src/rescue.rs
+++ b/daemon/src/rescue.rs
@@ -2,24 +2,22 @@
 
 use crate::post::News;
 use crate::service::raw;
-use crate::worker::{Shared, PULSE};
-use async_io::Timer;
-use ottersail_cores::Stage;
+use crate::worker::Shared;
+use ottersail_cores::{vigil, Stage};
 use ottersail_front::tape::Told;
 use ottersail_front::{AskId, Reply};
+use ottersail_net::Timer;
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 use tracing::warn;
 
-/// A core that has not moved for so long, in milliseconds, stands still: a dozen pulses.
-pub const STILL: f64 = 250.0;
-
 /// Watches all other cores for ever.
 pub async fn watch(shared: Arc<Shared>, me: usize) {
     loop {
-        Timer::after(PULSE * 2).await;
+        Timer::after(Duration::from_secs_f64(vigil::LOOK / 1e3)).await;
         let now = shared.clock.now();
         for (index, core) in shared.cores.iter().enumerate() {
-            if index == me || core.still_for(now) < STILL {
+            if index == me || !core.is_still(now) {
                 continue;
             }
             let waiting: Vec<_> = {
@@ -28,7 +26,7 @@
             };
             for (ask, slot) in waiting {
                 let has_reply = slot.reply.lock().unwrap_or_else(PoisonError::into_inner).is_some();
-                if !has_reply && now < slot.due {
+                if !vigil::answers_for(now, slot.due, has_reply) {
                     continue;
                 }
                 let Some(stage) = slot.claim.answer() else {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -9,13 +9,14 @@
 use crate::worker::{Shared, Worker};
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
-use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use ottersail_cores::Spread;
 use ottersail_front::tape::Told;
 use ottersail_front::{Front, House, Ms, Orders};
-use ottersail_net::{accept, executor, serve_one, Accepted, Clock, Exec, Limits, Nursery, Server};
+use ottersail_net::{
+    accept, block_on, executor, serve_one, Accepted, Clock, Exec, Limits, Listener, Nursery, Server, Timer,
+};
 use ottersail_tickets::Keys;
 use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::json;
@@ -113,7 +114,7 @@
     let (listen, cores) = (&manager.listen, manager.cores);
     info!(listen, cores, managers = manager.terms.managers, number = manager.terms.me.0, "running");
 
-    async_io::block_on(exec.run(async {
+    block_on(exec.run(async {
         let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1]) {
             Ok(signals) => signals,
             Err(trouble) => return Err(vec![format!("signals can't be taken: {trouble}")]),
@@ -165,8 +166,8 @@
     tape: Option<Tape>,
 ) -> Result<Running, String> {
     let address: SocketAddr = manager.listen.parse().map_err(|it| format!("{}: {it}", manager.listen))?;
-    let listener = Async::<TcpListener>::bind(address)
-        .map_err(|it| format!("{address}: {it}; is another one running?"))?;
+    let listener =
+        TcpListener::bind(address).map_err(|it| format!("{address}: {it}; is another one running?"))?;
     let limits = Limits { connections: manager.connections, head: HEAD };
     let (news, to_owner) = async_channel::bounded(MOST_NEWS);
     let cores: Vec<Arc<Core>> = (0..manager.cores).map(|_| Arc::default()).collect();
@@ -200,7 +201,7 @@
             let thread = std::thread::Builder::new().name(name).spawn(move || {
                 let exec = executor();
                 _ = work(exec, index, shared, incoming, limits);
-                async_io::block_on(exec.run(std::future::pending::<()>()));
+                block_on(exec.run(std::future::pending::<()>()));
             });
             thread.map_err(|it| format!("core {index}: {it}"))?;
         }
@@ -209,7 +210,7 @@
     let hand_on = move |accepted: Accepted| {
         let open: Vec<usize> = seen.cores.iter().map(|it| it.open.load(Ordering::Relaxed)).collect();
         let now = seen.clock.now();
-        let still: Vec<bool> = seen.cores.iter().map(|it| it.still_for(now) > rescue::STILL).collect();
+        let still: Vec<bool> = seen.cores.iter().map(|it| it.is_still(now)).collect();
         let core = spread.next(&open, &still);
         seen.cores[core].open.fetch_add(1, Ordering::Relaxed);
         posts[core].try_send(accepted).map_err(|it| {
@@ -219,12 +220,17 @@
     };
     let served = server.clone();
     if manager.cores == 1 {
+        let listener = Listener::new(listener).map_err(|it| format!("{address}: {it}"))?;
         exec.spawn(accept(Nursery::new(exec), listener, limits, served, hand_on)).detach();
     } else {
         // No core's standstill holds up who comes new.
         let accepting = move || {
             let exec = executor();
-            async_io::block_on(exec.run(accept(Nursery::new(exec), listener, limits, served, hand_on)));
+            let Ok(listener) = Listener::new(listener) else {
+                error!("connections can't be accepted: the listener can't be watched");
+                return;
+            };
+            block_on(exec.run(accept(Nursery::new(exec), listener, limits, served, hand_on)));
         };
         let thread = std::thread::Builder::new().name("accept".into()).spawn(accepting);
         thread.map_err(|it| format!("accept: {it}"))?;
--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -6,12 +6,11 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use async_executor::Task;
-use async_io::Timer;
 use hyper::{Method, Request, StatusCode};
-use ottersail_cores::{Claim, Stage};
+use ottersail_cores::{vigil, Claim, Stage};
 use ottersail_front::tape::Told;
 use ottersail_front::{AskId, Ms, Reply, SetUpEnd};
-use ottersail_net::{Body, Client, Clock, Exec, Failure, Line};
+use ottersail_net::{Body, Client, Clock, Exec, Failure, Line, Timer};
 use ottersail_tickets::Keys;
 use ottersail_wire::catalogue::{self, read_servers, read_titles, INDEX_HEADER};
 use ottersail_wire::notes::{Note, Reader};
@@ -33,10 +32,6 @@
 /// Connections kept to one server, and for how long; servers are to keep theirs longer.
 const KEEP: usize = 16;
 const KEEP_FOR: Duration = Duration::from_secs(8);
-/// If the owner has said nothing when so much of patience is left, the core answers in its place.
-const LAST_CALL: f64 = 1.0 / 32.0;
-/// Each core shows this often that it moves.
-pub const PULSE: Duration = Duration::from_millis(20);
 
 /// What all cores read and few write.
 pub struct Shared {
@@ -129,7 +124,7 @@
     pub async fn pulse(self: Rc<Worker>) {
         loop {
             self.core.moves(self.now());
-            Timer::after(PULSE).await;
+            Timer::after(Duration::from_secs_f64(vigil::PULSE / 1e3)).await;
         }
     }
 
@@ -148,7 +143,7 @@
         let ask = AskId(self.asks.get() * self.shared.cores.len() as u64 + self.index as u64);
         let (ready, is_ready) = async_channel::bounded(1);
         let began = self.now();
-        let due = began + patience * (1.0 - LAST_CALL);
+        let due = vigil::last_call(began, patience);
         let (claim, reply) = (Claim::new(), Mutex::new(None));
         let slot = Arc::new(Slot { claim, reply, ready, line, began, due });
         self.core.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(ask, slot.clone());
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -1,6 +1,5 @@
-use crate::{whole, Body, Exec};
+use crate::{whole, Body, Exec, Stream, Timer};
 use async_executor::Task;
-use async_io::{Async, Timer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -10,7 +9,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// How an exchange failed, and what that proves.
@@ -130,7 +129,7 @@
 
     async fn connected(&self, address: &str) -> Result<Kept, Failure> {
         let to: SocketAddr = address.parse().map_err(|_| Failure::NoConnection)?;
-        let connect = async { Some(Async::<TcpStream>::connect(to).await) };
+        let connect = async { Some(Stream::connect(to).await) };
         let late = async {
             Timer::after(self.connect).await;
             None
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -3,12 +3,20 @@
 mod client;
 mod clock;
 mod nursery;
+mod reactor;
+#[cfg(test)]
+mod reactor_tests;
 mod server;
+mod socket;
+mod timer;
 
 pub use client::{Answer, Client, Events, Failure};
 pub use clock::Clock;
 pub use nursery::Nursery;
+pub use reactor::{block_on, slept};
 pub use server::{accept, serve, serve_one, Accepted, Limits, Line, Server};
+pub use socket::{Listener, Stream};
+pub use timer::Timer;
 
 use async_executor::LocalExecutor;
 use bytes::Bytes;
--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -1,18 +1,16 @@
-use crate::{Body, Nursery};
-use async_io::{Async, Timer};
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use crate::timer::Timers;
+use crate::{Body, Listener, Nursery, Stream, Timer};
+use futures_lite::AsyncWriteExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
 use std::fs::File;
 use std::future::Future;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::pin::Pin;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tracing::{debug, warn};
 
@@ -48,7 +46,7 @@
 /// Accepts connections for ever and serves them. A handler's future is dropped when its client closes the connection.
 pub async fn serve<H, F>(
     nursery: Nursery,
-    listener: Async<TcpListener>,
+    listener: Listener,
     limits: Limits,
     server: Arc<Server>,
     handler: H,
@@ -67,7 +65,7 @@
 /// Accepts connections for ever and hands each on; one that is handed back is answered 503.
 pub async fn accept(
     nursery: Nursery,
-    listener: Async<TcpListener>,
+    listener: Listener,
     limits: Limits,
     server: Arc<Server>,
     mut hand_on: impl FnMut(Accepted) -> Result<(), Accepted>,
@@ -84,7 +82,7 @@
                     if let Some(Ok((stream, _))) = ready(listener.accept()).await {
                         server.turned_away.fetch_add(1, Ordering::Relaxed);
                         // Not awaited: the descriptor must be free again at once.
-                        _ = std::io::Write::write(&mut stream.get_ref(), NO_ROOM);
+                        _ = std::io::Write::write(&mut &stream, NO_ROOM);
                     }
                 }
                 reserve = spare();
@@ -103,17 +101,11 @@
             turn_away(&nursery, stream);
             continue;
         }
-        _ = stream.get_ref().set_nodelay(true);
-        // It is registered anew with the thread that serves it.
-        let Ok(stream) = stream.into_inner() else {
-            continue;
-        };
+        _ = stream.set_nodelay(true);
         let accepted = Accepted { stream, peer, held: Held::new(&server) };
         if let Err(Accepted { stream, .. }) = hand_on(accepted) {
             server.turned_away.fetch_add(1, Ordering::Relaxed);
-            if let Ok(stream) = Async::new(stream) {
-                turn_away(&nursery, stream);
-            }
+            turn_away(&nursery, stream);
         }
     }
 }
@@ -130,20 +122,19 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let Accepted { stream, peer, held } = accepted;
-    let Ok(stream) = Async::new(stream) else {
+    let Ok(stream) = Stream::new(stream) else {
         return;
     };
-    let line = Line { stream: Arc::new(stream), peer };
-    let own = line.clone();
+    let line = Line { socket: stream.share(), peer };
     let service = service_fn(move |request| {
-        let answer = handler(request, own.clone());
+        let answer = handler(request, line.clone());
         async move { Ok::<_, Infallible>(answer.await) }
     });
     nursery.spawn(async move {
         let _held = held;
         let mut builder = hyper::server::conn::http1::Builder::new();
-        builder.timer(SmolTimer::new()).header_read_timeout(limits.head).max_buf_size(64 * 1024);
-        if let Err(trouble) = builder.serve_connection(FuturesIo::new(line), service).await {
+        builder.timer(Timers).header_read_timeout(limits.head).max_buf_size(64 * 1024);
+        if let Err(trouble) = builder.serve_connection(FuturesIo::new(stream), service).await {
             debug!(%peer, %trouble, "connection");
         }
         closed();
@@ -153,7 +144,7 @@
 /// A connection, as its handler sees it: by a clone another thread may end it in the handler's place.
 #[derive(Clone)]
 pub struct Line {
-    stream: Arc<Async<TcpStream>>,
+    socket: Arc<TcpStream>,
     pub peer: SocketAddr,
 }
 
@@ -161,33 +152,13 @@
     /// Writes an answer past the one who serves the connection, and closes it. To be done only by who has won the
     /// right to answer; whoever serves it writes nothing more.
     pub fn answer_and_close(&self, bytes: &[u8]) -> std::io::Result<()> {
-        let mut socket = self.stream.get_ref();
+        let mut socket = &*self.socket;
         // It does not wait: an answer fits what a socket holds, unless its client reads nothing.
         let written = std::io::Write::write_all(&mut socket, bytes);
         written.and(socket.shutdown(Shutdown::Both))
     }
 }
 
-impl AsyncRead for Line {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, bytes: &mut [u8]) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut &*self.stream).poll_read(cx, bytes)
-    }
-}
-
-impl AsyncWrite for Line {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut &*self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut &*self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut &*self.stream).poll_close(cx)
-    }
-}
-
 struct Held(Arc<Server>);
 
 impl Held {
@@ -219,7 +190,10 @@
     }
 }
 
-fn turn_away(nursery: &Nursery, mut stream: Async<TcpStream>) {
+fn turn_away(nursery: &Nursery, stream: TcpStream) {
+    let Ok(mut stream) = Stream::new(stream) else {
+        return;
+    };
     nursery.spawn(async move {
         let say = async {
             _ = stream.write_all(NO_ROOM).await;
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -3,23 +3,21 @@
 use crate::fleet::{Held, Taken};
 use crate::list::{manager, plain, query};
 use crate::world::{die, Shared, LIMITS};
-use async_io::{Async, Timer};
 use bytes::Bytes;
 use futures_lite::future::pending;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use ottersail_judge::Event;
-use ottersail_net::{flowing, whole, Body, Nursery, Server};
+use ottersail_net::{flowing, whole, Body, Listener, Nursery, Server, Timer};
 use ottersail_wire::notes::{EndCause, Note};
 use ottersail_wire::report::{Report, HEADER};
-use std::net::TcpListener;
 use std::time::Duration;
 
 /// A viewing that nobody fetches for so long is let go.
 const LEASE: f64 = 12_000.0;
 const SAMPLE: Duration = Duration::from_millis(250);
 
-pub(crate) fn serve(nursery: &Nursery, listener: Async<TcpListener>, world: &Shared, id: &str) {
+pub(crate) fn serve(nursery: &Nursery, listener: Listener, world: &Shared, id: &str) {
     let (shared, name) = (world.clone(), id.to_string());
     let handler = move |request: Request<Incoming>, _| {
         let (world, id) = (shared.clone(), name.clone());
--- a/standins/src/list.rs
+++ b/standins/src/list.rs
@@ -1,15 +1,13 @@
 //! The list of servers and titles: a catalogue that is asked by blocking queries.
 
 use crate::world::{Shared, LIMITS};
-use async_io::{Async, Timer};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use ottersail_judge::record::Standing as Told;
 use ottersail_judge::Event;
-use ottersail_net::{whole, Body, Nursery, Server};
+use ottersail_net::{whole, Body, Listener, Nursery, Server, Timer};
 use ottersail_wire::catalogue::{write_servers, write_titles, Listed, Standing, Title, INDEX_HEADER};
 use std::collections::BTreeMap;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// What the list has to say, and when it says it.
@@ -50,7 +48,7 @@
     }
 }
 
-pub(crate) fn serve(nursery: &Nursery, listener: Async<TcpListener>, world: &Shared) {
+pub(crate) fn serve(nursery: &Nursery, listener: Listener, world: &Shared) {
     let shared = world.clone();
     let handler = move |request: Request<Incoming>, _| {
         let world = shared.clone();
--- a/standins/src/players.rs
+++ b/standins/src/players.rs
@@ -2,14 +2,13 @@
 
 use crate::day::{Day, FaultKind};
 use crate::record::Recorder;
-use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use hyper::{Method, Request, StatusCode};
 use m3u8_rs::MediaPlaylist;
 use ottersail_judge::Event;
-use ottersail_net::{executor, Answer, Body, Client, Exec};
+use ottersail_net::{block_on, executor, Answer, Body, Client, Exec, Stream, Timer};
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -61,7 +60,7 @@
         crowd: Arc::new(crowd),
     });
     let end = began + Duration::from_secs_f64(seconds);
-    async_io::block_on(exec.run(async {
+    block_on(exec.run(async {
         mischief(exec, &world, began);
         Timer::at(began).await;
         arrivals(exec, &world, began, end).await;
@@ -518,7 +517,7 @@
 /// Asks over and over on one connection and reads one byte a second.
 async fn slow_reader(world: &Rc<World>, end: Instant) -> std::io::Result<()> {
     let manager = world.manager("");
-    let mut stream = Async::<TcpStream>::connect(world.crowd.managers[manager]).await?;
+    let mut stream = Stream::connect(world.crowd.managers[manager]).await?;
     let request = "GET /metrics HTTP/1.1\r\nhost: slow\r\n\r\n".repeat(200);
     _ = within(Duration::from_secs(1), stream.write_all(request.as_bytes())).await;
     let mut byte = [0];
@@ -534,7 +533,7 @@
     let crowd = &world.crowd;
     let all: Vec<SocketAddr> = crowd.managers.iter().chain(&crowd.sockets).copied().collect();
     let to = all[(world.part() * all.len() as f64) as usize % all.len()];
-    let mut stream = Async::<TcpStream>::connect(to).await?;
+    let mut stream = Stream::connect(to).await?;
     let kind = (world.part() * 6.0) as usize;
     let text: Vec<u8> = match kind {
         0 => b"\x16\x03\x01\x02\x00\x01\x00".to_vec(),
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -5,14 +5,13 @@
 use crate::fleet::{Fleet, Server};
 use crate::list::{self, Book};
 use crate::record::Recorder;
-use async_io::{Async, Timer};
 use ottersail_judge::Event;
-use ottersail_net::{executor, Exec, Limits, Nursery};
+use ottersail_net::{block_on, executor, Exec, Limits, Listener, Nursery, Timer};
 use ottersail_tickets::Keys;
 use ottersail_wire::catalogue::{Listed, Standing};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::thread::JoinHandle;
@@ -104,7 +103,7 @@
         if failed {
             return;
         }
-        async_io::block_on(exec.run(async {
+        block_on(exec.run(async {
             if let Ok(began) = go.recv().await {
                 world.borrow_mut().began = began;
                 script(&world, &nursery);
@@ -120,8 +119,8 @@
     Ok(FleetRun { list, servers, stop, thread })
 }
 
-pub(crate) fn listener(address: SocketAddr) -> Result<Async<TcpListener>, String> {
-    Async::<TcpListener>::bind(address).map_err(|it| format!("{address}: {it}"))
+pub(crate) fn listener(address: SocketAddr) -> Result<Listener, String> {
+    Listener::bind(address).map_err(|it| format!("{address}: {it}"))
 }
 
 impl World {
@@ -229,7 +228,7 @@
     Ok(id)
 }
 
-fn start(world: &Shared, id: &str, address: SocketAddr, listener: Async<TcpListener>, cold: bool) {
+fn start(world: &Shared, id: &str, address: SocketAddr, listener: Listener, cold: bool) {
     let mut it = world.borrow_mut();
     let nursery = Nursery::new(it.exec);
     let now = it.now();
