--- a/daemon/tests/peer/mod.rs
+++ b/daemon/tests/peer/mod.rs
@@ -17,8 +17,10 @@
     pub heard: Arc<Mutex<Vec<String>>>,
 }
 
-/// What it does with one request: the bytes to send back, after a while.
-pub type Act = fn(&str, SocketAddr) -> (Duration, Vec<u8>);
+/// What it does with one request: the bytes to send back, after a while; with none it closes the connection.
+pub trait Act: Fn(&str, SocketAddr) -> (Duration, Vec<u8>) + Send + Sync + 'static {}
+
+impl<F: Fn(&str, SocketAddr) -> (Duration, Vec<u8>) + Send + Sync + 'static> Act for F {}
 
 pub fn answer(status: &str, headers: &str, body: &str) -> Vec<u8> {
     format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n{headers}\r\n{body}", body.len()).into_bytes()
@@ -51,15 +53,16 @@
 }
 
 impl Peer {
-    pub fn new(act: Act) -> Peer {
+    pub fn new(act: impl Act) -> Peer {
+        let act: Arc<dyn Act> = Arc::new(act);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let heard = Arc::new(Mutex::new(Vec::new()));
         let lines = heard.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let lines = lines.clone();
-                std::thread::spawn(move || serve(stream, address, act, &lines));
+                let (lines, act) = (lines.clone(), act.clone());
+                std::thread::spawn(move || serve(stream, address, &*act, &lines));
             }
         });
         Peer { address, heard }
@@ -71,7 +74,7 @@
     }
 }
 
-fn serve(stream: TcpStream, me: SocketAddr, act: Act, heard: &Mutex<Vec<String>>) {
+fn serve(stream: TcpStream, me: SocketAddr, act: &dyn Act, heard: &Mutex<Vec<String>>) {
     let Ok(mut to) = stream.try_clone() else {
         return;
     };
@@ -88,7 +91,7 @@
         heard.lock().unwrap().push(first.trim().to_string());
         let (wait, bytes) = act(&first, me);
         std::thread::sleep(wait);
-        if to.write_all(&bytes).is_err() {
+        if bytes.is_empty() || to.write_all(&bytes).is_err() {
             return;
         }
     }
@@ -134,11 +137,21 @@
         more: &str,
         files: Option<u32>,
         flags: &[&str],
+    ) -> Manager {
+        Manager::start_as(name, |address| settings(address, peer, more), files, flags)
+    }
+
+    /// With settings made for its address.
+    pub fn start_as(
+        name: &str,
+        text: impl FnOnce(SocketAddr) -> String,
+        files: Option<u32>,
+        flags: &[&str],
     ) -> Manager {
         let folder = folder(name);
         let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         std::fs::write(folder.join("keys"), "a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\n").unwrap();
-        std::fs::write(folder.join("m.ini"), settings(address, peer, more)).unwrap();
+        std::fs::write(folder.join("m.ini"), text(address)).unwrap();
         let log = std::fs::File::create(folder.join("log")).unwrap();
         let mut command = Command::new("sh");
         let limit = files.map_or(String::new(), |it| format!("ulimit -n {it}; "));
