--- a/bench/src/library.rs
+++ b/bench/src/library.rs
@@ -2,8 +2,10 @@
 
 use ottersail_daemon::run::house;
 use ottersail_daemon::settings::manager::{read_manager, Manager};
+use ottersail_front::decisions::Decisions;
 use ottersail_front::ids::{Rung, ServerId, ViewingId};
-use ottersail_front::{AskId, Asked, Front, Ms, Orders, Reply, SetUp, SetUpEnd};
+use ottersail_front::terms::Terms;
+use ottersail_front::{Answers, AskId, Asked, Brain, Front, Ms, Orders, Reply, SetUp, SetUpEnd};
 use ottersail_tickets::Keys;
 use ottersail_wire::catalogue::{Listed, Standing, Title};
 use ottersail_wire::notes::Note;
@@ -84,7 +86,8 @@
     fn hang_up(&mut self, _: &ServerId) {}
 }
 
-struct Bed {
+/// A front on a fake clock.
+pub struct Bed {
     front: Front,
     out: Out,
     now: f64,
@@ -92,11 +95,20 @@
 }
 
 impl Bed {
-    fn new(servers: usize, link_kb: f64) -> Bed {
+    pub fn new(servers: usize, link_kb: f64) -> Bed {
+        Bed::with(servers, link_kb, |terms, out| Box::new(Brain::born(Ms(1e6), 1, terms, out)))
+    }
+
+    /// With other decisions.
+    pub fn with(
+        servers: usize,
+        link_kb: f64,
+        decisions: impl FnOnce(Terms, &mut dyn Answers) -> Box<dyn Decisions>,
+    ) -> Bed {
         let manager = manager(servers, "127.0.0.1:1", "127.0.0.1:1", link_kb);
         let mut out = Out::default();
         let house = house(&manager, keys());
-        let mut front = Front::new(Ms(1e6), 1, manager.terms, house, &mut out);
+        let mut front = Front::with(Ms(1e6), manager.terms, house, &mut out, decisions);
         let list: Vec<Listed> =
             (0..servers).map(|it| listed(it, format!("127.0.0.1:{}", 1000 + it))).collect();
         front.titled(Ms(1e6), &titles(servers));
@@ -104,16 +116,26 @@
         Bed { front, out, now: 1e6, asks: 0 }
     }
 
-    fn set_up(&mut self) {
+    pub fn set_up(&mut self) {
+        for (vw, no) in self.ask() {
+            self.ended(&vw, no);
+        }
+    }
+
+    /// A viewing is asked for; the set-ups that go out.
+    pub fn ask(&mut self) -> Vec<(String, usize)> {
         self.asks += 1;
         let title = format!("t-{}", self.asks as usize * 31 % TITLES);
         let asked = Asked { title, package: "clips".into(), tenant: None, best: 3, patience: 4000.0 };
         self.front.asked(Ms(self.now), AskId(self.asks), asked, &mut self.out);
-        while let Some((vw, no)) = self.out.set_ups.pop() {
-            let end = SetUpEnd::Playing { playlist: PLAYLIST.into() };
-            let report = Report { link: Some(0.3), ..Report::default() };
-            self.front.set_up_ended(Ms(self.now), &vw, no, end, report, &mut self.out);
-        }
+        self.out.set_ups.drain(..).map(|(vw, no)| (vw.to_string(), no)).collect()
+    }
+
+    /// A set-up ends well.
+    pub fn ended(&mut self, vw: &str, no: usize) {
+        let end = SetUpEnd::Playing { playlist: PLAYLIST.into() };
+        let report = Report { link: Some(0.3), ..Report::default() };
+        self.front.set_up_ended(Ms(self.now), &vw.into(), no, end, report, &mut self.out);
         while let Some((vw, rung)) = self.out.steps.pop() {
             self.front.rung_changed(Ms(self.now), &vw, rung.0, Some(PLAYLIST), &mut self.out);
         }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod library;
 mod loopback;
+mod shared;
 
 use clap::{Parser, Subcommand};
 
@@ -41,6 +42,10 @@
         #[arg(long, default_values_t = [280, 2_800, 28_000])]
         held: Vec<usize>,
     },
+    /// One owner of a front beside a lock round it, at 1, 2 and 4 cores, without sockets.
+    Front,
+    /// What all cores read: published without a lock, in a mutex, and as a copy a core.
+    Published,
     /// Memory after many viewings were set up and ended, in the library.
     Memory {
         #[arg(long, default_values_t = [10_000, 200_000])]
@@ -58,6 +63,8 @@
             loopback::manage(&pick, servers, cores, &address, &list);
         }
         What::Decision { held } => library::decision(&held),
+        What::Front => shared::front(),
+        What::Published => shared::published(),
         What::Memory { viewings } => library::memory(&viewings),
     }
 }
--- /dev/null
+++ b/bench/src/shared.rs
@@ -0,0 +1,255 @@
+//! What cores share, by itself: a front that one owner holds beside a front in a lock, and what all read published
+//! without a lock beside a lock and a copy a core. No sockets; the work of a connection is a loop of known length.
+
+use crate::baseline::RandomPick;
+use crate::library::{keys, Bed};
+use arc_swap::ArcSwap;
+use async_channel::{bounded, Receiver, Sender};
+use ottersail_cores::Claim;
+use ottersail_net::{block_on, executor};
+use ottersail_tickets::Keys;
+use rustix::time::{clock_gettime, ClockId};
+use std::hint::black_box;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const SERVERS: usize = 280;
+const HELD: usize = 5_000;
+const SPAN: Duration = Duration::from_millis(1_500);
+/// A connection's share of a set-up: HTTP towards the player, and towards the server.
+const CONNECTION: [Duration; 2] = [Duration::from_micros(40), Duration::from_micros(40)];
+/// Viewings under way at once on a core, in the owner's arrangement; in a lock a thread does one after the other.
+const AT_ONCE: usize = 16;
+
+fn work(span: Duration) {
+    let began = Instant::now();
+    while began.elapsed() < span {
+        std::hint::spin_loop();
+    }
+}
+
+fn cpu() -> f64 {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    time.tv_sec as f64 * 1e6 + time.tv_nsec as f64 / 1e3
+}
+
+struct Moved(Bed);
+
+// SAFETY: a bed is whole in itself. Its counted ids have no clone outside of it, since only strings leave it, and one
+// thread at a time has it: the owner for good, or whoever holds the lock.
+unsafe impl Send for Moved {}
+
+fn bed(random: bool) -> Moved {
+    let link = 500.0 * HELD as f64 / SERVERS as f64 * 20.0;
+    let mut bed = if random {
+        Bed::with(SERVERS, link, |terms, _| Box::new(RandomPick::new(terms)))
+    } else {
+        Bed::new(SERVERS, link)
+    };
+    (0..HELD).for_each(|_| bed.set_up());
+    Moved(bed)
+}
+
+/// Set-ups a second, and microseconds of CPU each beyond the connections' own.
+type Shown = (f64, f64);
+
+fn shown(count: u64, began: Instant, before: f64) -> Shown {
+    let count = count.max(1) as f64;
+    let own: f64 = CONNECTION.iter().map(|it| it.as_secs_f64() * 1e6).sum();
+    (count / began.elapsed().as_secs_f64(), (cpu() - before) / count - own)
+}
+
+fn in_a_lock(cores: usize, random: bool) -> Shown {
+    let (bed, stop) = (Arc::new(Mutex::new(bed(random))), Arc::new(AtomicBool::new(false)));
+    let (began, before) = (Instant::now(), cpu());
+    let threads: Vec<_> = (0..cores)
+        .map(|_| {
+            let (bed, stop) = (bed.clone(), stop.clone());
+            std::thread::spawn(move || {
+                let mut count = 0u64;
+                while !stop.load(Ordering::Relaxed) {
+                    work(CONNECTION[0]);
+                    let out = bed.lock().expect("no thread panics").0.ask();
+                    work(CONNECTION[1]);
+                    let mut bed = bed.lock().expect("no thread panics");
+                    out.into_iter().for_each(|(vw, no)| bed.0.ended(&vw, no));
+                    count += 1;
+                }
+                count
+            })
+        })
+        .collect();
+    std::thread::sleep(SPAN);
+    stop.store(true, Ordering::Relaxed);
+    let count = threads.into_iter().map(|it| it.join().expect("it counts")).sum();
+    shown(count, began, before)
+}
+
+enum News {
+    Asked(Arc<Claim>, Sender<Vec<(String, usize)>>),
+    Ended(Vec<(String, usize)>, Sender<()>),
+}
+
+async fn own(news: Receiver<News>, mut bed: Moved) {
+    while let Ok(it) = news.recv().await {
+        match it {
+            News::Asked(claim, to) => {
+                if claim.take() {
+                    _ = to.try_send(bed.0.ask());
+                }
+            }
+            News::Ended(out, to) => {
+                out.into_iter().for_each(|(vw, no)| bed.0.ended(&vw, no));
+                _ = to.try_send(());
+            }
+        }
+    }
+}
+
+async fn connect(news: Sender<News>, stop: Arc<AtomicBool>, count: Arc<AtomicU64>) {
+    while !stop.load(Ordering::Relaxed) {
+        work(CONNECTION[0]);
+        let (claim, (to, out)) = (Arc::new(Claim::new()), bounded(1));
+        _ = news.send(News::Asked(claim.clone(), to)).await;
+        let Ok(out) = out.recv().await else {
+            return;
+        };
+        work(CONNECTION[1]);
+        let (to, done) = bounded(1);
+        _ = news.send(News::Ended(out, to)).await;
+        _ = done.recv().await;
+        claim.answer();
+        count.fetch_add(1, Ordering::Relaxed);
+        futures_lite::future::yield_now().await;
+    }
+}
+
+/// The owner has a thread of its own from three cores on, as `Spread` gives it no connections then.
+fn with_an_owner(cores: usize, random: bool) -> Shown {
+    let (news, to_owner) = bounded(8_192);
+    let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let bed = bed(random);
+    let (began, before) = (Instant::now(), cpu());
+    let connections =
+        move |news: &Sender<News>, stop: &Arc<AtomicBool>, count: &Arc<AtomicU64>, tasks: usize| {
+            let exec = executor();
+            for _ in 0..tasks {
+                exec.spawn(connect(news.clone(), stop.clone(), count.clone())).detach();
+            }
+            exec
+        };
+    let mut threads = Vec::new();
+    for _ in 1..cores {
+        let (news, stop, count) = (news.clone(), stop.clone(), count.clone());
+        threads.push(std::thread::spawn(move || {
+            let exec = connections(&news, &stop, &count, AT_ONCE);
+            block_on(exec.run(async {
+                while !stop.load(Ordering::Relaxed) {
+                    ottersail_net::Timer::after(Duration::from_millis(5)).await;
+                }
+            }));
+        }));
+    }
+    let own_tasks = [AT_ONCE, AT_ONCE / 3].get(cores - 1).copied().unwrap_or(0);
+    let exec = connections(&news, &stop, &count, own_tasks);
+    drop(news);
+    block_on(exec.run(async {
+        let owner = exec.spawn(own(to_owner, bed));
+        ottersail_net::Timer::after(SPAN).await;
+        stop.store(true, Ordering::Relaxed);
+        drop(owner);
+    }));
+    threads.into_iter().for_each(|it| it.join().expect("it ends"));
+    shown(count.load(Ordering::Relaxed), began, before)
+}
+
+pub fn front() {
+    println!("one front, {SERVERS} servers, {HELD} held, {CONNECTION:?} of work a set-up at its connections, no sockets");
+    println!(
+        "pick     cores   owner: set-ups/s   us   lock: set-ups/s   us   (CPU beyond the connections' own)"
+    );
+    for random in [false, true] {
+        for cores in [1, 2, 4] {
+            let (owner, lock) = (with_an_owner(cores, random), in_a_lock(cores, random));
+            println!(
+                "{:<7} {cores:>6} {:>18.0} {:>4.0} {:>17.0} {:>4.0}",
+                if random { "random" } else { "module" },
+                owner.0,
+                owner.1,
+                lock.0,
+                lock.1
+            );
+        }
+    }
+}
+
+/// Nanoseconds a read on each of so many threads while one more publishes a hundred times a second.
+fn reads<T: Send>(
+    cores: usize,
+    publish: impl Fn(Keys) + Send,
+    reader: impl Fn() -> T + Sync,
+    read: impl Fn(&mut T) -> usize + Sync,
+) -> f64 {
+    const READS: usize = 2_000_000;
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let stop = &stop;
+        scope.spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                publish(keys());
+                std::thread::sleep(Duration::from_millis(10));
+            }
+        });
+        let (reader, read) = (&reader, &read);
+        let threads: Vec<_> = (0..cores)
+            .map(|_| {
+                scope.spawn(move || {
+                    let mut own = reader();
+                    let began = Instant::now();
+                    for _ in 0..READS {
+                        black_box(read(&mut own));
+                    }
+                    began.elapsed().as_secs_f64() * 1e9 / READS as f64
+                })
+            })
+            .collect();
+        let each: Vec<f64> = threads.into_iter().map(|it| it.join().expect("it counts")).collect();
+        stop.store(true, Ordering::Relaxed);
+        each.iter().sum::<f64>() / cores as f64
+    })
+}
+
+pub fn published() {
+    println!("ns a read of the keys on each core, while they are published anew 100 times a second");
+    println!("cores   arc-swap   mutex   copy a core, renewed by a version");
+    let size = |it: &Keys| std::ptr::from_ref(it) as usize;
+    for cores in [1, 2, 4] {
+        let swap = ArcSwap::from_pointee(keys());
+        let by_swap = reads(cores, |it| swap.store(Arc::new(it)), || (), |()| size(&swap.load()));
+        let lock = Mutex::new(Arc::new(keys()));
+        let by_lock = reads(
+            cores,
+            |it| *lock.lock().expect("no thread panics") = Arc::new(it),
+            || (),
+            |()| size(&lock.lock().expect("no thread panics").clone()),
+        );
+        let (version, newest) = (AtomicU64::new(0), Mutex::new(Arc::new(keys())));
+        let by_copy = reads(
+            cores,
+            |it| {
+                *newest.lock().expect("no thread panics") = Arc::new(it);
+                version.fetch_add(1, Ordering::Release);
+            },
+            || (u64::MAX, Arc::new(keys())),
+            |own| {
+                let now = version.load(Ordering::Acquire);
+                if own.0 != now {
+                    *own = (now, newest.lock().expect("no thread panics").clone());
+                }
+                size(&own.1)
+            },
+        );
+        println!("{cores:>5} {by_swap:>10.1} {by_lock:>7.1} {by_copy:>10.1}");
+    }
+}
