--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod library;
 mod loopback;
+mod queue;
 mod shared;
 
 use clap::{Parser, Subcommand};
@@ -46,6 +47,11 @@
     Front,
     /// What all cores read: published without a lock, in a mutex, and as a copy a core.
     Published,
+    /// The laboratory's event queue beside plain ones.
+    Queue {
+        #[arg(long, default_values_t = [10_000, 100_000, 1_000_000, 10_000_000])]
+        pending: Vec<usize>,
+    },
     /// Memory after many viewings were set up and ended, in the library.
     Memory {
         #[arg(long, default_values_t = [10_000, 200_000])]
@@ -65,6 +71,7 @@
         What::Decision { held } => library::decision(&held),
         What::Front => shared::front(),
         What::Published => shared::published(),
+        What::Queue { pending } => queue::measure(&pending),
         What::Memory { viewings } => library::memory(&viewings),
     }
 }
