--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -1,14 +1,15 @@
 //! One manager in a process of its own, servers and list on a thread here, an open-loop load on two more: arrivals do
 //! not wait for answers, and a time to the answer counts from when the request was due.
 
-use crate::baseline::{RandomPick, Timed};
 use crate::library::{keys, listed, manager, titles, PLAYLIST, TITLES};
+use crate::timed::Timed;
 use hdrhistogram::Histogram;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use ottersail_daemon::run::{house, start};
 use ottersail_front::decisions::Decisions;
 use ottersail_front::{Brain, Front, Ms};
+use ottersail_lab::baseline::{Baseline, Pick};
 use ottersail_net::{
     block_on, executor, flowing, serve, whole, Body, Client, Clock, Limits, Listener, Nursery, Server, Timer,
 };
@@ -198,7 +199,7 @@
         &mut ottersail_daemon::run::NoOrders,
         move |terms, out| {
             let of: Box<dyn Decisions> = if random {
-                Box::new(RandomPick::new(terms))
+                Box::new(Baseline::new(terms, Pick::LowestRung, 1))
             } else {
                 Box::new(Brain::born(Ms(clock.now()), 1, terms, out))
             };
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,10 +1,10 @@
 //! Measures the session manager. Figures hold for the machine that they were taken on; compare within one run.
 
-mod baseline;
 mod library;
 mod loopback;
 mod queue;
 mod shared;
+mod timed;
 
 use clap::{Parser, Subcommand};
 
--- a/bench/src/shared.rs
+++ b/bench/src/shared.rs
@@ -1,11 +1,11 @@
 //! What cores share, by itself: a front that one owner holds beside a front in a lock, and what all read published
 //! without a lock beside a lock and a copy a core. No sockets; the work of a connection is a loop of known length.
 
-use crate::baseline::RandomPick;
 use crate::library::{keys, Bed};
 use arc_swap::ArcSwap;
 use async_channel::{bounded, Receiver, Sender};
 use ottersail_cores::Claim;
+use ottersail_lab::baseline::{Baseline, Pick};
 use ottersail_net::{block_on, executor};
 use ottersail_tickets::Keys;
 use rustix::time::{clock_gettime, ClockId};
@@ -43,7 +43,7 @@
 fn bed(random: bool) -> Moved {
     let link = 500.0 * HELD as f64 / SERVERS as f64 * 20.0;
     let mut bed = if random {
-        Bed::with(SERVERS, link, |terms, _| Box::new(RandomPick::new(terms)))
+        Bed::with(SERVERS, link, |terms, _| Box::new(Baseline::new(terms, Pick::LowestRung, 1)))
     } else {
         Bed::new(SERVERS, link)
     };
--- a/bench/src/timed.rs
+++ b/bench/src/timed.rs
@@ -1,70 +1,11 @@
-//! A plain random pick among the holders that are up: no split, no pace, no budget, no health. For comparison only.
+//! Decisions, and the time that they take.
 
 use ottersail_front::decisions::{Decisions, Ended};
-use ottersail_front::ids::{BellTag, Cell, PackageIx, Rung, ServerId, TenantIx, ViewingId};
-use ottersail_front::state::{Availability, Entry, ListMode, Load, Topic, Wish};
-use ottersail_front::terms::Terms;
+use ottersail_front::ids::{BellTag, PackageIx, ServerId, TenantIx, ViewingId};
+use ottersail_front::state::{Entry, ListMode, Load, Topic, Wish};
 use ottersail_front::{Answers, Ms};
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-pub struct RandomPick {
-    terms: Terms,
-    cells: BTreeMap<Cell, Vec<ServerId>>,
-    rng: fastrand::Rng,
-}
-
-impl RandomPick {
-    pub fn new(terms: Terms) -> RandomPick {
-        RandomPick { terms, cells: BTreeMap::new(), rng: fastrand::Rng::with_seed(1) }
-    }
-}
-
-impl Decisions for RandomPick {
-    fn package_named(&self, name: &str) -> Option<PackageIx> {
-        self.terms.packages.iter().position(|it| it.name == name).map(PackageIx)
-    }
-
-    fn tenant_named(&self, name: &str) -> Option<TenantIx> {
-        self.terms.tenants.iter().position(|it| it.name == name).map(TenantIx)
-    }
-
-    fn members(&mut self, _: Ms, _: ListMode, entries: &[Entry], _: &mut dyn Answers) {
-        for entry in entries {
-            let there = self.cells.entry(entry.cell).or_default();
-            there.retain(|it| *it != entry.server);
-            if entry.availability == Availability::Up {
-                there.push(entry.server.clone());
-            }
-        }
-    }
-
-    fn incoming(&mut self, now: Ms, wish: Wish, out: &mut dyn Answers) {
-        let cells = (0..wish.copies).map(|it| Cell((wish.base + it) % self.terms.cells.max(1)));
-        let holders: Vec<&ServerId> = cells.filter_map(|it| self.cells.get(&it)).flatten().collect();
-        if holders.is_empty() {
-            return out.shed(&wish.vw, None);
-        }
-        let server = holders[self.rng.usize(..holders.len())].clone();
-        out.step_to(&wish.vw, Rung(0));
-        out.relay(&wish.vw, &server, wish.due - now);
-    }
-
-    fn bell(&mut self, _: Ms, _: BellTag, _: &mut dyn Answers) {}
-
-    fn first(&mut self, _: Ms, _: &ViewingId, _: &ServerId, _: &mut dyn Answers) {}
-
-    fn answer(&mut self, _: Ms, vw: &ViewingId, ended: Ended, _: Load, out: &mut dyn Answers) {
-        if !ended.last {
-            out.abort(vw);
-        }
-    }
-
-    fn change(&mut self, _: Ms, _: &ViewingId, _: Topic, _: f64, _: &ServerId, _: &mut dyn Answers) {}
-
-    fn dropped(&mut self, _: Ms, _: &ViewingId, _: &mut dyn Answers) {}
-}
-
 /// Adds up the time that decisions take.
 pub struct Timed {
     pub of: Box<dyn Decisions>,
--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -143,6 +143,16 @@
         Some(&slot.value)
     }
 
+    /// All that it holds; each counts as asked for.
+    pub fn all(&self) -> Vec<(&'a str, &'a str)> {
+        let keys = self.part.into_iter().flat_map(|it| &it.keys);
+        keys.map(|(key, slot)| {
+            *slot.used.borrow_mut() = true;
+            (key.as_str(), slot.value.as_str())
+        })
+        .collect()
+    }
+
     fn want(&self, key: &str, what: &str) -> Option<&'a str> {
         let value = self.get(key).filter(|it| !it.is_empty());
         if value.is_none() && self.part.is_some() {
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -1,8 +1,9 @@
 //! What a run showed, and the laws that it must keep.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Figures {
     /// First requests and how each ended.
     pub asked: u64,
@@ -39,11 +40,18 @@
 }
 
 impl Figures {
-    /// Value played: what was earned over what was offered, with blocked and aborted requests as nothing earned.
+    /// What was earned over what was offered by those who watched.
     pub fn value(&self) -> f64 {
         self.earned / self.offered.max(1e-9)
     }
 
+    /// As [`Figures::value`], over what would have been offered had all played: a viewing that was blocked, aborted or
+    /// given up would have been offered as much as one that played. Who left by himself is not counted.
+    pub fn value_asked(&self) -> f64 {
+        let lost = self.blocked + self.aborted + self.gave_up + self.broken;
+        self.value() * self.played as f64 / (self.played + lost).max(1) as f64
+    }
+
     /// Complaints where the laws do not hold; none is good.
     pub fn broken_laws(&self, drift: f64) -> Vec<String> {
         let mut broken = Vec::new();
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,8 +2,11 @@
 
 use clap::{Parser, Subcommand};
 use ottersail_daemon::settings::day::read_day;
+use ottersail_lab::compare::compare;
+use ottersail_lab::experiment::{self, results, results_of, variants, Experiment};
+use ottersail_lab::figures::Figures;
 use ottersail_lab::model::Model;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -23,30 +26,107 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Plays an experiment's grid of days, seeds and variants; what was played before is not played again.
+    Run {
+        experiment: PathBuf,
+        /// Where results are kept; target/lab/NAME.jsonl if not told.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Runs at once; as many as the machine has cores if not told.
+        #[arg(long)]
+        threads: Option<usize>,
+    },
+    /// Two variants of an experiment that was played, by pairs of the same day and seed.
+    Compare {
+        experiment: PathBuf,
+        a: String,
+        b: String,
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
-    let What::Play { day, seed } = Line::parse().what;
-    let done = std::fs::read_to_string(&day)
-        .map_err(|it| vec![format!("{}: {it}", day.display())])
-        .and_then(|text| read_day(&day, &text))
-        .and_then(|plan| {
-            let seed = seed.unwrap_or(plan.day.seed);
-            Model::new(&plan, seed).map_err(|it| vec![it])
-        });
+    let done = match Line::parse().what {
+        What::Play { day, seed } => play(&day, seed),
+        What::Run { experiment, out, threads } => run(&experiment, out, threads),
+        What::Compare { experiment, a, b, out } => show(&experiment, out, &a, &b),
+    };
     match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(complaints) => {
             complaints.iter().for_each(|it| eprintln!("{it}"));
             ExitCode::from(2)
         }
-        Ok(model) => {
-            let began = Instant::now();
-            let (figures, drift) = model.run();
-            println!("{figures}");
-            println!("took                 {:>10.1} s", began.elapsed().as_secs_f64());
-            let broken = figures.broken_laws(drift);
-            broken.iter().for_each(|it| println!("LAW BROKEN: {it}"));
-            ExitCode::from(u8::from(!broken.is_empty()))
-        }
     }
 }
+
+type Done = Result<bool, Vec<String>>;
+
+fn play(day: &Path, seed: Option<u64>) -> Done {
+    let text = std::fs::read_to_string(day).map_err(|it| vec![format!("{}: {it}", day.display())])?;
+    let plan = read_day(day, &text)?;
+    let model = Model::new(&plan, seed.unwrap_or(plan.day.seed)).map_err(|it| vec![it])?;
+    let began = Instant::now();
+    let (figures, drift) = model.run();
+    println!("{figures}");
+    println!("took                 {:>10.1} s", began.elapsed().as_secs_f64());
+    let broken = figures.broken_laws(drift);
+    broken.iter().for_each(|it| println!("LAW BROKEN: {it}"));
+    Ok(broken.is_empty())
+}
+
+fn run(experiment: &Path, out: Option<PathBuf>, threads: Option<usize>) -> Done {
+    let grid = Experiment::read(experiment)?;
+    let out = out.unwrap_or_else(|| results_of(experiment));
+    let threads = threads.or_else(|| std::thread::available_parallelism().ok().map(usize::from)).unwrap_or(1);
+    let all = experiment::run(&grid, &out, threads).map_err(|it| vec![it])?;
+    println!(
+        "{:<32} {:>5} {:>7} {:>8} {:>8} {:>7} {:>9} {:>7}",
+        "variant", "runs", "value", "watched", "blocked", "short", "stalled s", "fell"
+    );
+    for variant in variants(&all) {
+        let of: Vec<_> = all.iter().filter(|it| it.variant == variant).map(|it| &it.figures).collect();
+        let mean =
+            |figure: fn(&Figures) -> f64| of.iter().map(|it| figure(it)).sum::<f64>() / of.len() as f64;
+        println!(
+            "{variant:<32} {:>5} {:>7.4} {:>8.4} {:>8.2} {:>7.2} {:>9.3} {:>7.1}",
+            of.len(),
+            mean(Figures::value_asked),
+            mean(Figures::value),
+            mean(|it| 100.0 * it.blocked as f64 / it.asked.max(1) as f64),
+            mean(|it| 100.0 * it.short as f64 / it.sampled.max(1) as f64),
+            mean(|it| it.stalled_ms / 1e3 / it.played.max(1) as f64),
+            mean(|it| it.fell as f64),
+        );
+    }
+    println!("results in {}", out.display());
+    let broken: Vec<_> = all.iter().flat_map(|it| it.broken.iter().map(move |law| (it, law))).collect();
+    for (it, law) in &broken {
+        println!("LAW BROKEN: {} seed {} {}: {law}", it.day, it.seed, it.variant);
+    }
+    Ok(broken.is_empty())
+}
+
+fn show(experiment: &Path, out: Option<PathBuf>, a: &str, b: &str) -> Done {
+    let out = out.unwrap_or_else(|| results_of(experiment));
+    let all = results(&out);
+    let names = variants(&all);
+    if let Some(unknown) = [a, b].into_iter().find(|it| !names.iter().any(|name| name == it)) {
+        let known = names.join(", ");
+        return Err(vec![format!("{}: no variant {unknown:?}; there are: {known}", out.display())]);
+    }
+    println!("{:<28} {:>9} {:>9} {:>10}   {:>10} .. {:<10}", "", a, b, "difference", "95 in 100 from", "to");
+    for (name, difference) in compare(&all, a, b) {
+        let Some(it) = difference else {
+            return Err(vec!["no day and seed was played with both".into()]);
+        };
+        let clear = if it.is_clear() { "clear" } else { "" };
+        println!(
+            "{name:<28} {:>9.4} {:>9.4} {:>+10.4}   {:>+10.4} .. {:<+10.4} {clear}",
+            it.of_a, it.of_b, it.mean, it.from, it.to
+        );
+    }
+    Ok(true)
+}
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -7,9 +7,13 @@
 use crate::player::{address, read, Buffer, Segment};
 use crate::wheel::Wheel;
 use ottersail_daemon::settings::day::Plan;
+use ottersail_front::decisions::Decisions;
 use ottersail_front::ids::{ManagerIx, Rung, ServerId, ViewingId};
 use ottersail_front::tape::Told;
-use ottersail_front::{AskId, Asked, Front, House, Ms, Orders, Reply, SetUp, SetUpEnd, WatchId};
+use ottersail_front::terms::Terms;
+use ottersail_front::{
+    Answers, AskId, Asked, Brain, Front, House, Ms, Orders, Reply, SetUp, SetUpEnd, WatchId,
+};
 use ottersail_standins::{Fault, FaultKind};
 use ottersail_tickets::Keys;
 use ottersail_wire::catalogue::{Listed, Standing, Title};
@@ -112,7 +116,7 @@
     Ask,
     Reload,
     Fetch,
-    Fetched { share: f64 },
+    Fetched,
 }
 
 /// What a front wants done, on its way to a server.
@@ -208,7 +212,11 @@
     silent: bool,
 }
 
+/// Makes the decisions of a manager that begins: the time, a seed, its terms.
+pub type Decide = Box<dyn Fn(Ms, u64, Terms, &mut dyn Answers) -> Box<dyn Decisions>>;
+
 pub struct Model {
+    decide: Decide,
     plan: Plan,
     now: f64,
     end: f64,
@@ -236,6 +244,18 @@
     /// # Errors
     /// If a fault is one that has no meaning without sockets.
     pub fn new(plan: &Plan, seed: u64) -> Result<Model, String> {
+        Model::with(plan, seed, |now, seed, terms, out| Box::new(Brain::born(now, seed, terms, out)))
+    }
+
+    /// With other decisions than the module's, for comparison.
+    ///
+    /// # Errors
+    /// As [`Model::new`].
+    pub fn with(
+        plan: &Plan,
+        seed: u64,
+        decide: impl Fn(Ms, u64, Terms, &mut dyn Answers) -> Box<dyn Decisions> + 'static,
+    ) -> Result<Model, String> {
         let day = &plan.day;
         use FaultKind as Kind;
         let on_sockets = |it: &&Fault| {
@@ -271,6 +291,7 @@
         let keys =
             Keys::read("model bW9kZWxtb2RlbG1vZGVsbW9kZWxtb2RlbG1vZGVs").map_err(|it| it.to_string())?;
         let mut it = Model {
+            decide: Box::new(decide),
             plan: plan.clone(),
             now: START,
             end: START + day.seconds * 1e3,
@@ -404,7 +425,9 @@
             linger: Ms(1000.0),
         };
         let mut wishes = Wishes::default();
-        let front = Front::new(Ms(self.now), self.rng.u64(..), terms, house, &mut wishes);
+        let (now, seed) = (Ms(self.now), self.rng.u64(..));
+        let front =
+            Front::with(now, terms, house, &mut wishes, |terms, out| (self.decide)(now, seed, terms, out));
         let post = &mut self.posts[manager.0];
         post.front = Some(front);
         post.life += 1;
@@ -1024,7 +1047,7 @@
                 });
             }
             Step::Fetch => self.fetch(viewer),
-            Step::Fetched { share } => self.fetched(viewer, share),
+            Step::Fetched => self.fetched(viewer),
         }
     }
 
@@ -1117,12 +1140,13 @@
             return self.broke(viewer);
         };
         held.seen = now;
-        // A segment comes at once where all is given, and later by what is lacking of its rate.
-        let wait = segment * (1.0 / share.max(0.05) - 1.0);
+        // A segment comes at once where all is given. On a short link each viewing gets its share of its rate and no more,
+        // so that a segment takes longer to come than to be shown.
+        let wait = if share < 1.0 { segment / share.max(0.01) } else { 0.0 };
         if wait > SEGMENT_PATIENCE {
             return self.broke(viewer);
         }
-        self.next(viewer, wait + 2.0 * WAY, Step::Fetched { share });
+        self.next(viewer, wait + 2.0 * WAY, Step::Fetched);
     }
 
     fn broke(&mut self, viewer: usize) {
@@ -1136,7 +1160,7 @@
         self.next(viewer, 250.0, Step::Reload);
     }
 
-    fn fetched(&mut self, viewer: usize, _share: f64) {
+    fn fetched(&mut self, viewer: usize) {
         let now = self.now;
         let worth = |rung: usize| self.plan.day.worth.get(rung).copied().unwrap_or(1.0);
         let it = &mut self.viewers[viewer];
