--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -2,6 +2,7 @@
 //! settings and version is not played again.
 
 use crate::baseline::{Baseline, Pick};
+use crate::detail::Detail;
 use crate::figures::Figures;
 use crate::model::Model;
 use ottersail_daemon::settings::day::read_day;
@@ -18,7 +19,7 @@
 use std::time::Instant;
 
 /// Results of another version of the model are not compared with.
-const VERSION: u32 = 1;
+const VERSION: u32 = 2;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Variant {
@@ -49,6 +50,7 @@
     pub settings: String,
     pub version: u32,
     pub figures: Figures,
+    pub detail: Detail,
     /// Laws that did not hold.
     pub broken: Vec<String>,
 }
@@ -162,14 +164,14 @@
         let text = self.apply(text).map_err(lines)?;
         let plan = read_day(Path::new(day), &text).map_err(lines)?;
         let pick = self.pick;
-        let (figures, drift) = Model::with(&plan, seed, move |now, seed, terms, out| match pick {
+        let (figures, detail, drift) = Model::with(&plan, seed, move |now, seed, terms, out| match pick {
             None => Box::new(Brain::born(now, seed, terms, out)),
             Some(pick) => Box::new(Baseline::new(terms, pick, seed)),
         })?
         .run();
         let broken = figures.broken_laws(drift);
         let (day, variant, settings) = (day.to_string(), self.name.clone(), self.settings(&text));
-        Ok(Outcome { day, variant, seed, settings, version: VERSION, figures, broken })
+        Ok(Outcome { day, variant, seed, settings, version: VERSION, figures, detail, broken })
     }
 
     fn settings(&self, applied: &str) -> String {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod baseline;
 pub mod compare;
 pub mod crowd;
+pub mod detail;
 pub mod experiment;
 pub mod figures;
 pub mod links;
 pub mod model;
 pub mod player;
+pub mod report;
 pub mod wheel;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -36,6 +36,15 @@
         #[arg(long)]
         threads: Option<usize>,
     },
+    /// One HTML file of an experiment that was played.
+    Report {
+        experiment: PathBuf,
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// The file; beside the results if not told.
+        #[arg(long)]
+        html: Option<PathBuf>,
+    },
     /// Two variants of an experiment that was played, by pairs of the same day and seed.
     Compare {
         experiment: PathBuf,
@@ -50,6 +59,7 @@
     let done = match Line::parse().what {
         What::Play { day, seed } => play(&day, seed),
         What::Run { experiment, out, threads } => run(&experiment, out, threads),
+        What::Report { experiment, out, html } => report(&experiment, out, html),
         What::Compare { experiment, a, b, out } => show(&experiment, out, &a, &b),
     };
     match done {
@@ -69,7 +79,7 @@
     let plan = read_day(day, &text)?;
     let model = Model::new(&plan, seed.unwrap_or(plan.day.seed)).map_err(|it| vec![it])?;
     let began = Instant::now();
-    let (figures, drift) = model.run();
+    let (figures, _, drift) = model.run();
     println!("{figures}");
     println!("took                 {:>10.1} s", began.elapsed().as_secs_f64());
     let broken = figures.broken_laws(drift);
@@ -102,6 +112,7 @@
         );
     }
     println!("results in {}", out.display());
+    report(experiment, Some(out.clone()), None)?;
     let broken: Vec<_> = all.iter().flat_map(|it| it.broken.iter().map(move |law| (it, law))).collect();
     for (it, law) in &broken {
         println!("LAW BROKEN: {} seed {} {}: {law}", it.day, it.seed, it.variant);
@@ -109,6 +120,20 @@
     Ok(broken.is_empty())
 }
 
+fn report(experiment: &Path, out: Option<PathBuf>, html: Option<PathBuf>) -> Done {
+    let out = out.unwrap_or_else(|| results_of(experiment));
+    let all = results(&out);
+    if all.is_empty() {
+        return Err(vec![format!("{}: no results; play the experiment first", out.display())]);
+    }
+    let html = html.unwrap_or_else(|| out.with_extension("html"));
+    let name = experiment.file_stem().map_or("experiment".into(), |it| it.to_string_lossy().into_owned());
+    let text = ottersail_lab::report::html(&name, &all).map_err(|it| vec![it])?;
+    std::fs::write(&html, text).map_err(|it| vec![format!("{}: {it}", html.display())])?;
+    println!("report in {}", html.display());
+    Ok(true)
+}
+
 fn show(experiment: &Path, out: Option<PathBuf>, a: &str, b: &str) -> Done {
     let out = out.unwrap_or_else(|| results_of(experiment));
     let all = results(&out);
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -2,6 +2,7 @@
 //! wheel, drawn from one seed, so that a run repeats itself to the byte.
 
 use crate::crowd::{draw, gap, playlist, Wanted};
+use crate::detail::{band, Detail, Row, Span, SPANS};
 use crate::figures::Figures;
 use crate::links::{Box as Server, Held, Links, Manager, Rack, Taken, Warming};
 use crate::player::{address, read, Buffer, Segment};
@@ -43,6 +44,8 @@
 
 enum Event {
     Arrive,
+    /// A span of the day ends.
+    Span,
     Step {
         viewer: usize,
         life: u32,
@@ -238,6 +241,13 @@
     keys: Keys,
     watching: u64,
     figures: Figures,
+    spans: Vec<Span>,
+    span_began: Figures,
+    waited_ms: f64,
+    /// By rack: samples, short ones, and the sum of what was asked of the uplink.
+    racks: Vec<(u64, u64, f64)>,
+    /// By package and title: requests, and those blocked.
+    titles: BTreeMap<(usize, usize), (u64, u64)>,
 }
 
 impl Model {
@@ -312,6 +322,11 @@
             keys,
             watching: 0,
             figures: Figures::default(),
+            spans: Vec::new(),
+            span_began: Figures::default(),
+            waited_ms: 0.0,
+            racks: vec![(0, 0, 0.0); day.racks.max(1) as usize],
+            titles: BTreeMap::new(),
         };
         (0..day.servers as u64).for_each(|cell| _ = it.add(cell, false));
         it.hear_news();
@@ -332,11 +347,12 @@
         }
         // A list's second: managers know it before the first viewer comes.
         it.wheel.put(START + 200.0, Event::Arrive);
+        it.wheel.put(START + day.seconds * 1e3 / SPANS as f64, Event::Span);
         Ok(it)
     }
 
     /// Plays the day to its end, and lets who watches then watch on for a while.
-    pub fn run(mut self) -> (Figures, f64) {
+    pub fn run(mut self) -> (Figures, Detail, f64) {
         let last =
             self.end + self.plan.day.packages.iter().map(|it| it.length.1 * 2e3).fold(10_000.0, f64::max);
         while let Some((at, event)) = self.wheel.pop() {
@@ -351,7 +367,61 @@
             self.viewers.iter().filter(|it| it.ask.is_some_and(|ask| ask.2)).count() as u64;
         self.figures.twice = self.links.twice;
         let drift = self.links.drift();
-        (self.figures, drift)
+        let detail = self.detail();
+        (self.figures, detail, drift)
+    }
+
+    fn detail(&mut self) -> Detail {
+        let racks = self.racks.iter().enumerate().map(|(ix, (all, lost, asked))| Row {
+            name: ix.to_string(),
+            all: *all,
+            lost: *lost,
+            fill: asked / (*all).max(1) as f64,
+        });
+        let day = &self.plan.day;
+        let titles = self.titles.iter().map(|((package, title), (all, lost))| Row {
+            name: format!("{}-{title}", day.packages[*package].name),
+            all: *all,
+            lost: *lost,
+            fill: 0.0,
+        });
+        let mut titles: Vec<Row> = titles.collect();
+        titles.sort_by(|a, b| b.all.cmp(&a.all).then(a.name.cmp(&b.name)));
+        titles.truncate(20);
+        Detail { spans: std::mem::take(&mut self.spans), racks: racks.collect(), titles }
+    }
+
+    fn span_ends(&mut self) {
+        let (mut links, mut uplinks, mut cold) = (Vec::new(), Vec::new(), 0);
+        let mut rungs = vec![0; self.plan.day.rates_kb.len()];
+        for ix in 0..self.links.servers.len() {
+            if !self.links.servers[ix].alive {
+                continue;
+            }
+            let report = self.links.report(Server(ix));
+            links.extend(report.link);
+            uplinks.extend(report.uplink);
+            cold += u64::from(self.links.warmth(Server(ix), self.now) < 1.0);
+            self.links.servers[ix].held.values().for_each(|it| rungs[it.rung] += 1);
+        }
+        let (now, then) = (&self.figures, &self.span_began);
+        self.spans.push(Span {
+            until: self.second(),
+            asked: now.asked - then.asked,
+            played: now.played - then.played,
+            blocked: now.blocked - then.blocked,
+            aborted: now.aborted - then.aborted,
+            links: band(links),
+            uplinks: band(uplinks),
+            rungs,
+            cold,
+            cold_set_ups: now.cold_set_ups - then.cold_set_ups,
+            waited_ms: std::mem::take(&mut self.waited_ms),
+        });
+        self.span_began = self.figures.clone();
+        if self.spans.len() < SPANS {
+            self.after(self.plan.day.seconds * 1e3 / SPANS as f64, Event::Span);
+        }
     }
 
     fn second(&self) -> f64 {
@@ -369,6 +439,7 @@
     fn happens(&mut self, event: Event) {
         match event {
             Event::Arrive => self.arrive(),
+            Event::Span => self.span_ends(),
             Event::Step { viewer, life, step } => {
                 if self.viewers[viewer].life == life {
                     self.step(viewer, step);
@@ -689,7 +760,10 @@
         self.links.remember(it, now);
         let report = self.links.report(it);
         self.figures.sampled += 1;
-        self.figures.short += u64::from(report.delivered.is_some_and(|it| it < 0.98));
+        let short = u64::from(report.delivered.is_some_and(|it| it < 0.98));
+        self.figures.short += short;
+        let rack = &mut self.racks[self.links.servers[it.0].rack];
+        *rack = (rack.0 + 1, rack.1 + short, rack.2 + report.uplink.unwrap_or(0.0));
         let seen = self.links.seen(it, now, self.plan.day.seen_after + self.reports_late);
         let mut notes = Vec::new();
         if now >= self.kept[it.0].next_second {
@@ -967,7 +1041,9 @@
         let it = &mut self.viewers[viewer];
         it.ask = Some((ask, now, first));
         let (manager, told) = (it.manager, told(AskId(ask), it));
+        let title = self.viewers[viewer].wanted.title;
         if first {
+            self.titles.entry((package, title)).or_default().0 += 1;
             self.figures.asked += 1;
         } else {
             self.figures.reloads += 1;
@@ -1059,6 +1135,7 @@
         match (reply, first) {
             (Reply::Playlist(text), true) => {
                 self.figures.played += 1;
+                self.waited_ms += self.now - self.viewers[viewer].asked_at;
                 self.figures.most_at_once = self.figures.most_at_once.max(self.watching);
                 let id = text.lines().find_map(|line| {
                     let path = line.strip_prefix("http://")?.split_once("/viewing/")?.1;
@@ -1082,6 +1159,8 @@
             }
             (Reply::Blocked { stay_away }, true) => {
                 self.figures.blocked += 1;
+                let wanted = &self.viewers[viewer].wanted;
+                self.titles.entry((wanted.package, wanted.title)).or_default().1 += 1;
                 // The header knows whole seconds only.
                 let pause = stay_away.map_or(1e3, |it| (it / 1e3).ceil() * 1e3);
                 self.again(viewer, pause.max(500.0));
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -12,7 +12,7 @@
 }
 
 fn play(plan: &Plan, seed: u64) -> Figures {
-    let (figures, drift) = Model::new(plan, seed).unwrap().run();
+    let (figures, _, drift) = Model::new(plan, seed).unwrap().run();
     assert_eq!(figures.broken_laws(drift), Vec::<String>::new());
     figures
 }
