--- a/lab/src/links.rs
+++ b/lab/src/links.rs
@@ -6,7 +6,7 @@
 
 /// A server of the model, by its number; a replacement has a number of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Box(pub usize);
+pub struct ServerNo(pub usize);
 
 /// A manager of the model, by its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -79,7 +79,7 @@
     pub slow: f64,
     pub warming: Warming,
     /// Where each viewing is, so that none is in two places unseen.
-    places: HashMap<String, Box>,
+    places: HashMap<String, ServerNo>,
     /// Viewings set up at a second server while the first still held them.
     pub twice: u64,
 }
@@ -92,20 +92,20 @@
         Links { servers, racks, slow: 1.0, warming, places: HashMap::new(), twice: 0 }
     }
 
-    pub fn warmth(&self, it: Box, now: f64) -> f64 {
+    pub fn warmth(&self, it: ServerNo, now: f64) -> f64 {
         let Warming { lasts, start_capacity, .. } = self.warming;
         let since = self.servers[it.0].cold_since.filter(|since| now - since < lasts);
         since.map_or(1.0, |since| start_capacity + (1.0 - start_capacity) * (now - since) / lasts)
     }
 
-    fn ask(&mut self, it: Box, kb: f64) {
+    fn ask(&mut self, it: ServerNo, kb: f64) {
         let server = &mut self.servers[it.0];
         server.asked_kb += kb;
         self.racks[server.rack].asked_kb += kb;
     }
 
     /// A set-up arrives; it takes its room from here on.
-    pub fn set_up(&mut self, now: f64, it: Box, vw: &str, held: Held) -> Taken {
+    pub fn set_up(&mut self, now: f64, it: ServerNo, vw: &str, held: Held) -> Taken {
         let warmth = self.warmth(it, now);
         let Warming { lasts, fall_multiple, fall, .. } = self.warming;
         let server = &mut self.servers[it.0];
@@ -131,7 +131,7 @@
         Taken::Yes
     }
 
-    pub fn end(&mut self, it: Box, vw: &str) -> Option<Held> {
+    pub fn end(&mut self, it: ServerNo, vw: &str) -> Option<Held> {
         let held = self.servers[it.0].held.remove(vw)?;
         self.ask(it, -held.kb);
         let server = &mut self.servers[it.0];
@@ -147,7 +147,7 @@
     }
 
     /// The process ends, and all that it held.
-    pub fn die(&mut self, it: Box) -> Vec<(String, Held)> {
+    pub fn die(&mut self, it: ServerNo) -> Vec<(String, Held)> {
         let names: Vec<String> = self.servers[it.0].held.keys().cloned().collect();
         let mut ended: Vec<(String, Held)> =
             names.into_iter().filter_map(|vw| self.end(it, &vw).map(|held| (vw, held))).collect();
@@ -160,7 +160,7 @@
         ended
     }
 
-    pub fn set_rung(&mut self, it: Box, vw: &str, rung: usize, kb: f64) -> Option<Held> {
+    pub fn set_rung(&mut self, it: ServerNo, vw: &str, rung: usize, kb: f64) -> Option<Held> {
         let held = self.servers[it.0].held.get_mut(vw)?;
         let more = kb - held.kb;
         (held.rung, held.kb) = (rung, kb);
@@ -171,7 +171,7 @@
 
     /// What is asked over what is given, of link and uplink, and the share that each viewing there gets: on a short
     /// link, and behind a short uplink, all get the same.
-    pub fn report(&self, it: Box) -> Report {
+    pub fn report(&self, it: ServerNo) -> Report {
         let server = &self.servers[it.0];
         let rack = &self.racks[server.rack];
         let link = server.asked_kb / (server.link_kb * (1.0 - server.taken) / self.slow).max(1.0);
@@ -180,7 +180,7 @@
         Report { link: Some(link.max(0.0)), uplink: Some(uplink.max(0.0)), delivered: Some(share) }
     }
 
-    pub fn remember(&mut self, it: Box, now: f64) {
+    pub fn remember(&mut self, it: ServerNo, now: f64) {
         let report = self.report(it);
         let past = &mut self.servers[it.0].past;
         past.push_back((now, report));
@@ -190,7 +190,7 @@
     }
 
     /// What was so `late` milliseconds ago.
-    pub fn seen(&self, it: Box, now: f64, late: f64) -> Option<Report> {
+    pub fn seen(&self, it: ServerNo, now: f64, late: f64) -> Option<Report> {
         self.servers[it.0].past.iter().rev().find(|it| it.0 <= now - late).map(|it| it.1)
     }
 
@@ -245,18 +245,18 @@
     #[test]
     fn all_on_a_link_or_behind_an_uplink_get_the_same_share() {
         let mut it = links();
-        it.set_up(0.0, Box(0), "v1", held(80.0));
-        assert_eq!(it.report(Box(0)).delivered, Some(1.0));
-        it.set_up(0.0, Box(0), "v2", held(80.0));
-        assert_eq!(it.report(Box(0)).link, Some(1.6));
-        it.set_up(0.0, Box(1), "v3", held(80.0));
-        assert_eq!(it.report(Box(1)).uplink, Some(1.6), "the uplink is short for both");
-        assert_eq!(it.report(Box(2)).uplink, Some(0.0));
-        it.set_rung(Box(0), "v2", 0, 20.0);
-        it.end(Box(1), "v3");
-        assert_eq!(it.report(Box(0)).delivered, Some(1.0));
+        it.set_up(0.0, ServerNo(0), "v1", held(80.0));
+        assert_eq!(it.report(ServerNo(0)).delivered, Some(1.0));
+        it.set_up(0.0, ServerNo(0), "v2", held(80.0));
+        assert_eq!(it.report(ServerNo(0)).link, Some(1.6));
+        it.set_up(0.0, ServerNo(1), "v3", held(80.0));
+        assert_eq!(it.report(ServerNo(1)).uplink, Some(1.6), "the uplink is short for both");
+        assert_eq!(it.report(ServerNo(2)).uplink, Some(0.0));
+        it.set_rung(ServerNo(0), "v2", 0, 20.0);
+        it.end(ServerNo(1), "v3");
+        assert_eq!(it.report(ServerNo(0)).delivered, Some(1.0));
         it.slow = 2.0;
-        assert_eq!(it.report(Box(0)).delivered, Some(0.5));
+        assert_eq!(it.report(ServerNo(0)).delivered, Some(0.5));
     }
 
     #[test]
@@ -264,20 +264,20 @@
         let mut it = links();
         it.servers[0].cold_since = Some(0.0);
         let taken: Vec<Taken> =
-            (0..4).map(|ix| it.set_up(0.0, Box(0), &format!("v{ix}"), held(1.0))).collect();
+            (0..4).map(|ix| it.set_up(0.0, ServerNo(0), &format!("v{ix}"), held(1.0))).collect();
         assert_eq!(taken, [Taken::Yes, Taken::Yes, Taken::Yes, Taken::Fell]);
-        assert_eq!(it.die(Box(0)).len(), 3);
+        assert_eq!(it.die(ServerNo(0)).len(), 3);
         assert_eq!(it.racks[0].asked_kb, 0.0);
     }
 
     #[test]
     fn a_viewing_in_two_places_is_seen() {
         let mut it = links();
-        it.set_up(0.0, Box(0), "v", held(1.0));
-        it.end(Box(0), "v");
-        it.set_up(0.0, Box(1), "v", held(1.0));
+        it.set_up(0.0, ServerNo(0), "v", held(1.0));
+        it.end(ServerNo(0), "v");
+        it.set_up(0.0, ServerNo(1), "v", held(1.0));
         assert_eq!(it.twice, 0);
-        it.set_up(0.0, Box(2), "v", held(1.0));
+        it.set_up(0.0, ServerNo(2), "v", held(1.0));
         assert_eq!(it.twice, 1);
     }
 
@@ -292,14 +292,14 @@
             for (kind, server, vw, kb) in steps {
                 let vw = format!("v{vw}");
                 match kind {
-                    0 | 1 => _ = it.set_up(0.0, Box(server), &vw, held(kb)),
-                    2 => _ = it.end(Box(server), &vw),
-                    3 => _ = it.set_rung(Box(server), &vw, 1, kb),
-                    _ if kb < 5.0 => _ = it.die(Box(server)),
+                    0 | 1 => _ = it.set_up(0.0, ServerNo(server), &vw, held(kb)),
+                    2 => _ = it.end(ServerNo(server), &vw),
+                    3 => _ = it.set_rung(ServerNo(server), &vw, 1, kb),
+                    _ if kb < 5.0 => _ = it.die(ServerNo(server)),
                     _ => {}
                 }
                 prop_assert!(it.drift() < 1e-6, "{}", it.drift());
-                let report = it.report(Box(server));
+                let report = it.report(ServerNo(server));
                 let given = it.servers[server].asked_kb * report.delivered.unwrap_or(1.0);
                 prop_assert!(given <= it.servers[server].link_kb + 1e-6, "a link gives no more than it has");
             }
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -4,7 +4,7 @@
 use crate::crowd::{draw, gap, playlist, Wanted};
 use crate::detail::{band, Detail, Row, Span, SPANS};
 use crate::figures::Figures;
-use crate::links::{Box as Server, Held, Links, Manager, Rack, Taken, Warming};
+use crate::links::{Held, Links, Manager, Rack, ServerNo, Taken, Warming};
 use crate::player::{address, read, Buffer, Segment};
 use crate::wheel::Wheel;
 use ottersail_daemon::settings::day::Plan;
@@ -65,7 +65,7 @@
     Front {
         manager: Manager,
         life: u32,
-        told: Told,
+        told: Box<Told>,
     },
     Wake {
         manager: Manager,
@@ -73,20 +73,20 @@
     },
     Order {
         manager: Manager,
-        order: Order,
+        order: Box<Order>,
     },
     /// A set-up's work is done.
     Worked {
         manager: Manager,
         life: u32,
-        server: Server,
+        server: ServerNo,
         born: u32,
         vw: String,
         no: usize,
         title: usize,
     },
     Sample {
-        server: Server,
+        server: ServerNo,
         born: u32,
     },
     /// The list tells what it knows.
@@ -97,7 +97,7 @@
     },
     /// One of the servers that a fault takes one after the other; `on` false ends its drain.
     Retire {
-        server: Server,
+        server: ServerNo,
         ix: usize,
         on: bool,
     },
@@ -124,12 +124,35 @@
 
 /// What a front wants done, on its way to a server.
 enum Order {
-    SetUp { vw: String, no: usize, server: Server, title: usize, package: String, rung: usize, send_by: f64 },
-    CallOff { vw: String, no: usize, server: Server },
-    ChangeRung { vw: String, server: Server, rung: usize },
-    LetGo { vw: String, server: Server },
-    Listen { server: Server },
-    HangUp { server: Server },
+    SetUp {
+        vw: String,
+        no: usize,
+        server: ServerNo,
+        title: usize,
+        package: String,
+        rung: usize,
+        send_by: f64,
+    },
+    CallOff {
+        vw: String,
+        no: usize,
+        server: ServerNo,
+    },
+    ChangeRung {
+        vw: String,
+        server: ServerNo,
+        rung: usize,
+    },
+    LetGo {
+        vw: String,
+        server: ServerNo,
+    },
+    Listen {
+        server: ServerNo,
+    },
+    HangUp {
+        server: ServerNo,
+    },
 }
 
 #[derive(Default)]
@@ -139,11 +162,11 @@
 }
 
 /// The model's servers are named by their number.
-fn server(id: &ServerId) -> Server {
-    Server(id.to_string().strip_prefix("box-").and_then(|it| it.parse().ok()).unwrap_or(usize::MAX))
+fn server(id: &ServerId) -> ServerNo {
+    ServerNo(id.to_string().strip_prefix("box-").and_then(|it| it.parse().ok()).unwrap_or(usize::MAX))
 }
 
-fn name(it: Server) -> String {
+fn name(it: ServerNo) -> String {
     format!("box-{}", it.0)
 }
 
@@ -232,12 +255,12 @@
     free: Vec<usize>,
     asks: u64,
     /// What is known of each server, by when the list tells it.
-    news: Vec<(f64, Server, Option<Listed>)>,
+    news: Vec<(f64, ServerNo, Option<Listed>)>,
     list: BTreeMap<usize, Listed>,
     index: u64,
     list_held: bool,
     reports_late: f64,
-    taken: Vec<Vec<Server>>,
+    taken: Vec<Vec<ServerNo>>,
     keys: Keys,
     watching: u64,
     figures: Figures,
@@ -398,10 +421,10 @@
             if !self.links.servers[ix].alive {
                 continue;
             }
-            let report = self.links.report(Server(ix));
+            let report = self.links.report(ServerNo(ix));
             links.extend(report.link);
             uplinks.extend(report.uplink);
-            cold += u64::from(self.links.warmth(Server(ix), self.now) < 1.0);
+            cold += u64::from(self.links.warmth(ServerNo(ix), self.now) < 1.0);
             self.links.servers[ix].held.values().for_each(|it| rungs[it.rung] += 1);
         }
         let (now, then) = (&self.figures, &self.span_began);
@@ -449,7 +472,7 @@
             Event::Reply { viewer, ask, reply } => self.replied(viewer, ask, reply),
             Event::Front { manager, life, told } => {
                 if self.posts[manager.0].life == life {
-                    self.tell(manager, told);
+                    self.tell(manager, *told);
                 }
             }
             Event::Wake { manager, life } => {
@@ -459,7 +482,7 @@
                     self.tell(manager, Told::TimeHasCome);
                 }
             }
-            Event::Order { manager, order } => self.order(manager, order),
+            Event::Order { manager, order } => self.order(manager, *order),
             Event::Worked { manager, life, server, born, vw, no, title } => {
                 if self.kept[server.0].born == born {
                     self.worked((manager, life), server, vw, no, title);
@@ -552,14 +575,14 @@
         // In order on each way: what is done for a viewing is done in order.
         let way = self.way();
         for order in wishes.orders {
-            self.after(way, Event::Order { manager, order });
+            self.after(way, Event::Order { manager, order: Box::new(order) });
         }
     }
 
     /// A server, or the list, tells a manager something, after its way and `span` more.
     fn notify(&mut self, manager: Manager, span: f64, told: Told) {
         let (way, life) = (self.way(), self.posts[manager.0].life);
-        self.after(way + span, Event::Front { manager, life, told });
+        self.after(way + span, Event::Front { manager, life, told: Box::new(told) });
     }
 
     fn kill(&mut self, manager: Manager, back: bool) {
@@ -594,11 +617,11 @@
 
     // Servers.
 
-    fn add(&mut self, cell: u64, cold: bool) -> Server {
+    fn add(&mut self, cell: u64, cold: bool) -> ServerNo {
         let day = &self.plan.day;
         let weight = [0.5, 1.0, 1.0, 1.5][self.rng.usize(..4)];
         let uneven = 1.0 + day.uneven * (self.rng.f64() * 2.0 - 1.0);
-        let it = Server(self.links.servers.len());
+        let it = ServerNo(self.links.servers.len());
         self.links.servers.push(crate::links::Server {
             rack: (cell % day.racks.max(1)) as usize,
             cell,
@@ -624,7 +647,7 @@
         it
     }
 
-    fn starts(&mut self, it: Server) {
+    fn starts(&mut self, it: ServerNo) {
         self.kept[it.0].born += 1;
         self.kept[it.0].silent = false;
         self.links.servers[it.0].alive = true;
@@ -634,14 +657,14 @@
         self.after(first, Event::Sample { server: it, born });
     }
 
-    fn comes_back(&mut self, it: Server) {
+    fn comes_back(&mut self, it: ServerNo) {
         self.links.servers[it.0].cold_since = Some(self.now);
         self.starts(it);
         self.publish(it, self.plan.day.notice);
     }
 
     /// The process ends. A crash resets its connections; one that falls silent does not.
-    fn dies(&mut self, it: Server, silent: bool) {
+    fn dies(&mut self, it: ServerNo, silent: bool) {
         if !self.links.servers[it.0].alive {
             return;
         }
@@ -737,7 +760,7 @@
         }
     }
 
-    fn worked(&mut self, (manager, life): (Manager, u32), it: Server, vw: String, no: usize, title: usize) {
+    fn worked(&mut self, (manager, life): (Manager, u32), it: ServerNo, vw: String, no: usize, title: usize) {
         let Some(held) = self.links.servers[it.0].held.get(&vw).filter(|it| it.no == no) else {
             return;
         };
@@ -755,7 +778,7 @@
         self.notify(manager, 0.0, Told::SetUpEnded { vw, no, end, report });
     }
 
-    fn sample(&mut self, it: Server) {
+    fn sample(&mut self, it: ServerNo) {
         let now = self.now;
         self.links.remember(it, now);
         let report = self.links.report(it);
@@ -800,7 +823,7 @@
 
     // The list.
 
-    fn publish(&mut self, it: Server, after: f64) {
+    fn publish(&mut self, it: ServerNo, after: f64) {
         let server = &self.links.servers[it.0];
         let listed = server.alive.then(|| Listed {
             id: name(it),
@@ -846,10 +869,10 @@
 
     // What goes wrong.
 
-    fn pick(&mut self, part: f64) -> Vec<Server> {
-        let all = (0..self.links.servers.len()).map(Server);
-        let runs = |it: &Server| self.links.servers[it.0].alive && !self.links.servers[it.0].draining;
-        let mut all: Vec<Server> = all.filter(runs).collect();
+    fn pick(&mut self, part: f64) -> Vec<ServerNo> {
+        let all = (0..self.links.servers.len()).map(ServerNo);
+        let runs = |it: &ServerNo| self.links.servers[it.0].alive && !self.links.servers[it.0].draining;
+        let mut all: Vec<ServerNo> = all.filter(runs).collect();
         self.rng.shuffle(&mut all);
         let count = ((all.len() as f64 * part).round() as usize).clamp(1, all.len().max(1));
         all.truncate(count);
@@ -942,7 +965,7 @@
     }
 
     /// Drained for a while, then ended and, if so told, replaced by a cold one in its cell.
-    fn retire(&mut self, it: Server, ix: usize, on: bool) {
+    fn retire(&mut self, it: ServerNo, ix: usize, on: bool) {
         let fault = self.plan.day.faults[ix].clone();
         if !self.links.servers[it.0].alive {
             return;
--- a/lab/src/player.rs
+++ b/lab/src/player.rs
@@ -1,12 +1,12 @@
 //! A player's buffer: when segments come, what was worth watching, and how long it stood still. No events, no chance.
 
-use crate::links::Box;
+use crate::links::ServerNo;
 
 /// One segment that a playlist names.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Segment {
     pub at: u64,
-    pub server: Box,
+    pub server: ServerNo,
     pub vw: String,
     pub rung: usize,
     pub seconds: f64,
@@ -20,7 +20,7 @@
 }
 
 /// A server's address in the model: its number is the port.
-pub fn address(it: Box) -> String {
+pub fn address(it: ServerNo) -> String {
     format!("10.0.0.1:{}", it.0 + 1)
 }
 
@@ -39,7 +39,7 @@
             let mut parts = rest.split('/');
             let port: usize = parts.next()?.parse().ok()?;
             let (vw, rung) = (parts.nth(1)?.to_string(), parts.next()?.parse().ok()?);
-            listing.segments.push(Segment { at, server: Box(port.checked_sub(1)?), vw, rung, seconds });
+            listing.segments.push(Segment { at, server: ServerNo(port.checked_sub(1)?), vw, rung, seconds });
             at += 1;
         }
     }
@@ -96,7 +96,7 @@
     use super::*;
 
     fn segment(at: u64, rung: usize) -> Segment {
-        Segment { at, server: Box(6), vw: "v.1".into(), rung, seconds: 2.0 }
+        Segment { at, server: ServerNo(6), vw: "v.1".into(), rung, seconds: 2.0 }
     }
 
     #[test]
