--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -96,3 +96,23 @@
         write!(f, "events               {:>10}", self.events)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    /// Ten asked: six played, two blocked, one left, one in hand.
+    fn good() -> Figures {
+        Figures { asked: 10, played: 6, blocked: 2, left: 1, in_hand: 1, ..Figures::default() }
+    }
+
+    #[test_case(good(), 0.0 => 0; "all hold")]
+    #[test_case(Figures { asked: 11, ..good() }, 0.0 => 1; "one had no answer")]
+    #[test_case(Figures { aborted: 1, ..good() }, 0.0 => 1; "one had two")]
+    #[test_case(Figures { twice: 1, ..good() }, 0.0 => 1; "one in two places")]
+    #[test_case(good(), 5.0 => 1; "sums that drifted")]
+    fn laws(it: Figures, drift: f64) -> usize {
+        it.broken_laws(drift).len()
+    }
+}
