A rack's links are summed once a moment, so that thousands at once are answered in time

Checked: perf of the adapter in that batch: 63 in 100 in the fold of counted(), 34 in memcmp of server ids, called from has_room for each holder of each waiting viewing. Ruled out: the split (under 1 in 100).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -887,11 +887,18 @@
         uplink.missing.0 * (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp()
     }
 
+    /// Summed anew once a moment: when thousands come at once, each would go through the whole rack.
     fn counted(&self, uplink: &Uplink) -> f64 {
-        let all = uplink.servers.iter().map(|id| &self.servers[id]);
-        let up = all.filter(|it| it.entry.availability == Availability::Up);
-        up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>()
-            / self.terms.uplink_kb.max(1.0)
+        let (at, mut asked, own) = uplink.counted.get();
+        if at != self.now {
+            let all = uplink.servers.iter().map(|id| &self.servers[id]);
+            let up = all.filter(|it| it.entry.availability == Availability::Up);
+            asked = up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>();
+            uplink.counted.set((self.now, asked, uplink.own.0));
+        } else {
+            asked += uplink.own.0 - own;
+        }
+        asked / self.terms.uplink_kb.max(1.0)
     }
 
     fn usually(&self, usual: f64, told: f64, own: Own) -> Seen {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -835,3 +835,17 @@
         println!("from 280 to 140,000: set-up x {:.2}, note x {:.2}", many.0 / few.0, many.1 / few.1);
     }
 }
+
+// A rack's links are summed once a moment; what the manager adds meanwhile counts at once.
+#[test]
+fn a_rack_is_summed_once_a_moment() {
+    let mut it = brain(Terms { uplinks_reported: false, ..terms() }, 4);
+    let (rack, before) = (Rack(0), it.counted(&it.uplinks[&Rack(0)]));
+    playing(&mut it, "one", "s0", 3);
+    let after = it.counted(&it.uplinks[&rack]);
+    assert!((after - before - 8.0 / 1000.0).abs() < 1e-9, "{before} then {after}");
+    server(&mut it, "s2").entry.availability = Availability::Gone;
+    assert_eq!(after, it.counted(&it.uplinks[&rack]));
+    it.now = it.now + Ms(1.0);
+    assert!(it.counted(&it.uplinks[&rack]) < after);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,7 +116,7 @@
 }
 
 /// The uplink of a rack.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Uplink {
     pub servers: BTreeSet<ServerId>,
     pub own: Own,
@@ -124,6 +124,8 @@
     /// Where it is not reported: what short delivery showed to be missing from what its links ask of it, as a
     /// part of that, and when.
     pub missing: (f64, Ms),
+    /// What its links asked of it when that was last summed, with the manager's own part at that moment.
+    pub counted: std::cell::Cell<(Ms, f64, f64)>,
 }
 
 #[derive(Clone, Debug)]
@@ -154,6 +156,13 @@
     pub lot_at: Ms,
 }
 
+impl Default for Uplink {
+    fn default() -> Uplink {
+        let counted = std::cell::Cell::new((Ms::LONG_AGO, 0.0, 0.0));
+        Uplink { servers: BTreeSet::new(), own: (0.0, 0.0), seen: None, missing: (0.0, Ms::LONG_AGO), counted }
+    }
+}
+
 impl Viewing {
     /// Nothing is owed yet and nothing is out.
     pub fn taken(wish: Wish, taken: Ms, rung: Rung, over_share: bool) -> Viewing {
