Where load is told to probes only, the two picks and paced servers are probed

Ruled out: refusals (5 in 100), failures. At fault: Answers had no probe; a step waits for notes that never come; weights are 1 for kinds of 30 and 44 places; links of both were taken as equal. Change: an inspect answer; a new viewing's two picks are asked first where their load is not known, for a fifth of its join target; servers with viewings below their request are asked at drawn times; a manager that probes by itself steps up by what is free over how many act on one report, not by its equal part; where play goes on unhurt no probe says more than full; places stand in for weights.

--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -136,6 +136,8 @@
         link_unit_kb: ladder.number("link-unit-kb", 0.001..=1e12),
         uplink_kb: ladder.number_or("rack-link-kb", 0.0..=1e12, 0.0),
         uplinks_reported: ladder.flag_or("uplinks-reported", true),
+        reports_on_probe: false,
+        weights_told: true,
         places: kinds.into_iter().map(|(kind, places)| (Kind::from(kind.as_str()), places)).collect(),
         ladder_kb,
         seen_after: Ms(ladder.number("seen-after-ms", SPAN)),
--- a/drill/src/conf.rs
+++ b/drill/src/conf.rs
@@ -78,6 +78,8 @@
         link_unit_kb: number(&extra["link-unit-kb"]),
         uplink_kb: number(&extra["rack-link-kb"]),
         uplinks_reported: list(&conf["report"]["fields"]).iter().any(|field| field == "x1"),
+        reports_on_probe: conf["report"]["how"] == "on_probe" && allowed["probes"] == true,
+        weights_told: conf["weights"] != "off",
         places: kinds.zip(numbers(&extra["places-by-kind"])).collect(),
         seen_after: span(&extra["seen-after-ns"]),
         reports_every: span(&extra["reports-every-ns"]),
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -185,6 +185,10 @@
     fn subscribe(&mut self) {
         self.line("SUBSCRIBE", format_args!(" 1"));
     }
+
+    fn inspect(&mut self, server: &ServerId) {
+        self.line("INSPECT", format_args!(" {server}"));
+    }
 }
 
 #[derive(Default)]
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -160,6 +160,9 @@
 
     /// The list is always asked for.
     fn subscribe(&mut self) {}
+
+    /// No probes here yet: the terms never say that they are needed.
+    fn inspect(&mut self, _: &ServerId) {}
 }
 
 impl Front {
--- a/front/src/tests.rs
+++ b/front/src/tests.rs
@@ -37,6 +37,8 @@
         link_unit_kb: 10_000.0,
         uplink_kb: 0.0,
         uplinks_reported: true,
+        reports_on_probe: false,
+        weights_told: true,
         places: BTreeMap::new(),
         seen_after: Ms(500.0),
         reports_every: Ms(2000.0),
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -10,4 +10,6 @@
     fn abort(&mut self, vw: &ViewingId);
     fn schedule(&mut self, tag: BellTag, at: Ms);
     fn subscribe(&mut self);
+    /// A probe: its report comes as an echo.
+    fn inspect(&mut self, server: &ServerId);
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,12 @@
 const BEAT: f64 = 0.1;
 /// A server that turned a set-up away is left out for this part of the time between notes.
 const AWAY: f64 = 0.5;
+/// Where load is told to probes only: a report counts as known for so many times the lateness of notes, and a
+/// new viewing waits for it for this part of its join target.
+const PROBE_GAP: f64 = 6.0;
+const PROBE_WAIT: f64 = 0.2;
+/// How old such a report is, over the lateness of notes.
+const REPORT_AGE: f64 = 0.5;
 
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
@@ -97,6 +103,8 @@
     /// Mean parts of links and of uplinks that are asked, where they are known.
     usual_link: f64,
     usual_uplink: f64,
+    /// Of a server that is up: where no weights are told, places stand in for them.
+    mean_places: f64,
 }
 
 impl Brain {
@@ -124,6 +132,7 @@
             bell_at: None,
             usual_link: FILL,
             usual_uplink: FILL,
+            mean_places: 1.0,
             terms,
         }
     }
@@ -150,6 +159,10 @@
         for entry in entries {
             self.list(entry);
         }
+        let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
+        let places = up.filter_map(|it| self.terms.places.get(&it.entry.kind));
+        let (sum, count) = places.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
+        self.mean_places = if sum > 0.0 { sum / count } else { 1.0 };
         self.settle(out);
     }
 
@@ -214,7 +227,7 @@
             it.look_at = now;
             it.phase = if last || it.phase == Phase::Over { Phase::Over } else { Phase::Waiting };
         });
-        self.note_load(server, load);
+        self.note_load(server, load, now - self.terms.seen_after);
         self.settle(out);
     }
 
@@ -241,7 +254,7 @@
             Topic::RungInForce => self.amend(vw, |it| it.rung = Rung(value.max(0.0) as usize)),
             Topic::ShareDelivered => self.note_delivered(server, value, at),
             Topic::LinkAsked => {
-                self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (value, at));
+                self.note_on_link(server, value, at);
                 self.note_link(server, value, at);
             }
             Topic::UplinkAsked => self.note_uplink(server, value, at),
@@ -257,8 +270,27 @@
 
     pub fn echo(&mut self, now: Ms, server: &ServerId, outcome: Outcome, load: Load, out: &mut dyn Answers) {
         self.now = now;
-        self.judge(server, outcome);
-        self.note_load(server, load);
+        if let Some(it) = self.servers.get_mut(server) {
+            it.probe_out = false;
+        }
+        // A server that loses the answers of tune-ins may still answer probes: only a failed one tells.
+        if outcome == Outcome::Served {
+            let at = now - self.terms.seen_after * REPORT_AGE;
+            let load = self.not_short(server, load);
+            let asked = load.link_uncapped.or(load.link);
+            asked.into_iter().for_each(|x| self.note_on_link(server, x, at));
+            self.note_load(server, load, at);
+            self.draw_lot(server, at, Ms(0.0));
+        } else if outcome != Outcome::TurnedAway {
+            self.judge(server, outcome);
+        }
+        let heard = |it: &&(Ms, ViewingId)| {
+            let picks = &self.viewings[&it.1].picks;
+            picks.contains(server) && !picks.iter().any(|id| self.servers[id].probe_out)
+        };
+        for (_, vw) in self.waiting.iter().filter(heard).cloned().collect::<Vec<_>>() {
+            self.amend(&vw, |it| it.look_at = now);
+        }
         self.settle(out);
     }
 
@@ -290,19 +322,20 @@
             return false;
         }
         let others = holders.len() > 1;
-        let one = holders.swap_remove(self.chance.below(holders.len()));
-        let server = match holders.len() {
-            0 => one,
-            count => {
-                let other = holders.swap_remove(self.chance.below(count));
-                if self.used(&other) < self.used(&one) {
-                    other
-                } else {
-                    one
-                }
+        let mut viewing = self.viewings[&vw].clone();
+        viewing.picks.retain(|it| holders.contains(it));
+        if viewing.picks.is_empty() {
+            while viewing.picks.len() < 2 && !holders.is_empty() {
+                viewing.picks.push(holders.swap_remove(self.chance.below(holders.len())));
             }
+            if viewing.tune_ins.is_empty() && self.inquire(&viewing, out) {
+                return true;
+            }
+        }
+        let less = |a: &&ServerId, b: &&ServerId| self.used(a).total_cmp(&self.used(b));
+        let Some(server) = viewing.picks.iter().min_by(less).cloned() else {
+            return false;
         };
-        let viewing = self.viewings[&vw].clone();
         let rung = self.draw(&viewing, &server);
         if viewing.rung != rung {
             out.step_to(&vw, rung);
@@ -319,11 +352,38 @@
         self.amend(&vw, |it| {
             it.rung = rung;
             it.phase = Phase::TuningIn;
+            it.picks.clear();
             it.tune_ins.push(TuneIn { server, sent: now, outcome: None });
         });
         true
     }
 
+    /// Where load is told to probes only, what is not known of the two picks is asked first, for a bounded time.
+    fn inquire(&mut self, viewing: &Viewing, out: &mut dyn Answers) -> bool {
+        let wait = self.now + self.package(viewing).join_target * PROBE_WAIT;
+        let known = viewing.picks.iter().filter(|id| !self.probe(id, out)).count();
+        if known == viewing.picks.len() || wait >= viewing.wish.due {
+            return false;
+        }
+        self.amend(&viewing.wish.vw, |it| (it.look_at, it.picks) = (wait, viewing.picks.clone()));
+        true
+    }
+
+    /// Asks a server for its load, once in a gap; true while the report is out.
+    fn probe(&mut self, id: &ServerId, out: &mut dyn Answers) -> bool {
+        let (now, gap, asks) = (self.now, self.note_gap(), self.terms.reports_on_probe);
+        let Some(it) =
+            self.servers.get_mut(id).filter(|it| asks && it.entry.availability == Availability::Up)
+        else {
+            return false;
+        };
+        if !it.probe_out && now - it.probed_at >= gap {
+            (it.probe_out, it.probed_at) = (true, now);
+            out.inspect(id);
+        }
+        it.probe_out
+    }
+
     /// All holders are shunned, paced or without a seat: look again after a beat.
     fn hold(&mut self, _out: &mut dyn Answers) -> bool {
         let next = self.now + self.beat();
@@ -344,8 +404,23 @@
             return false;
         };
         let (now, next) = (self.now, self.now + self.beat());
-        let silence = self.note_gap() * STALE;
-        if now - self.servers[&id].lot_at >= silence {
+        let mut silence = self.note_gap() * STALE;
+        if self.terms.reports_on_probe {
+            silence = self.note_gap();
+            let it = &self.servers[&id];
+            if it.next_probe <= now && it.census.playing().any(|it| it.0.rung < it.0.best) {
+                // Those who are handed viewings at the same moment must not ask, and act, in step.
+                let first = it.next_probe == Ms::LONG_AGO;
+                let wait = silence * (self.chance.part() + if first { 0.0 } else { 0.5 });
+                if let Some(it) = self.servers.get_mut(&id) {
+                    it.next_probe = now + wait;
+                }
+                self.look(&id, now + wait);
+                if !first && self.probe(&id, out) {
+                    return true;
+                }
+            }
+        } else if now - self.servers[&id].lot_at >= silence {
             // Notes stay out: what is usual elsewhere stands in for them, and shortage would still be told.
             self.draw_lot(&id, now, Ms(0.0));
         }
@@ -369,8 +444,12 @@
         } else if settled {
             let low = it.census.playing().filter(|it| it.0.rung < it.0.best);
             let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0).then(a.1.cmp(b.1)));
-            let room = self.capacity(&id, UP_FILL) - asks;
             let free = self.free_kb(&id, UP_FILL);
+            let room = if self.terms.reports_on_probe {
+                free / self.seen_together(&id)
+            } else {
+                self.capacity(&id, UP_FILL) - asks
+            };
             let part = |it: &(Asker, &ViewingId)| {
                 let step = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 + 1)) - asks;
                 let root = ((DRAWN_PHI * DRAWN_PHI + 4.0 * free / step).max(0.0).sqrt() - DRAWN_PHI) / 2.0;
@@ -537,8 +616,11 @@
         self.terms.packages.iter().map(|it| it.join_target).min().unwrap_or(Ms(1e3))
     }
 
-    /// Time between two notes on a server, where any come.
+    /// Time between two notes on a server, where any come; else between two probes.
     fn note_gap(&self) -> Ms {
+        if self.terms.reports_on_probe {
+            return (self.terms.seen_after * PROBE_GAP).max(self.join_target());
+        }
         self.terms.reports_every.max(self.terms.seen_after).max(self.beat())
     }
 
@@ -820,7 +902,9 @@
     }
 
     fn link_kb(&self, server: &Server) -> f64 {
-        server.entry.weight * self.terms.link_unit_kb
+        let places = |kind| self.terms.places.get(kind).copied().unwrap_or(1.0);
+        let size = if self.terms.weights_told { 1.0 } else { places(&server.entry.kind) / self.mean_places };
+        server.entry.weight * size * self.terms.link_unit_kb
     }
 
     fn uplink_of(&self, server: &Server) -> &Uplink {
@@ -907,7 +991,7 @@
     }
 
     fn pooled(&self, fill: f64) -> f64 {
-        let least = if self.terms.uplinks_reported { FILL } else { 0.0 };
+        let least = if self.terms.uplinks_reported && !self.terms.reports_on_probe { FILL } else { 0.0 };
         fill.clamp(least, SHORT)
     }
 
@@ -937,6 +1021,16 @@
         link.min(free(self.terms.uplink_kb, seen, uplink.own, self.pooled(fill)))
     }
 
+    /// Each manager probes at times of its own: so many viewings on the link or uplink, with one's own, act on a
+    /// report before it shows what the others made of theirs.
+    fn seen_together(&self, server: &ServerId) -> f64 {
+        let it = &self.servers[server];
+        let others = |told: f64, seen: Seen| others_kb(told, seen) / self.mean_kb(seen);
+        let link = others(self.link_kb(it), self.link_seen(it));
+        let rack = others(self.terms.uplink_kb, self.uplink_seen(self.uplink_of(it)));
+        1.0 + link.max(rack) * (self.terms.seen_after * REPORT_AGE / self.note_gap())
+    }
+
     fn link_used(&self, server: &Server) -> f64 {
         let seen = self.link_seen(server);
         seen.asked + (server.own.0 - seen.own.0) / self.link_kb(server).max(1.0)
@@ -969,6 +1063,21 @@
         }
     }
 
+    /// Reports are noisy, and short delivery is told: where viewings play and none was, no more is asked than is
+    /// given.
+    fn not_short(&self, server: &ServerId, load: Load) -> Load {
+        let whole = |it: &Server| it.delivered.0 >= 0.98 && it.census.playing().next().is_some();
+        if !self.servers.get(server).is_some_and(whole) {
+            return load;
+        }
+        let most = |asked: f64| asked.min(1.0);
+        Load { link_uncapped: load.link_uncapped.map(most), uplink: load.uplink.map(most), ..load }
+    }
+
+    fn note_on_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
+        self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (asked, at));
+    }
+
     fn note_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
         let Some(it) = self.servers.get_mut(server) else {
             return;
@@ -1026,17 +1135,17 @@
     }
 
     /// Reports in answers are rougher than notes and stand in only where those are old.
-    fn note_load(&mut self, server: &ServerId, load: Load) {
+    fn note_load(&mut self, server: &ServerId, load: Load, at: Ms) {
         let old = |seen: Option<Seen>| seen.is_none_or(|it| self.now - it.at > self.terms.reports_every);
         let Some(it) = self.servers.get(server) else {
             return;
         };
         let uplink_old = old(self.uplink_of(it).seen);
         if let Some(asked) = load.link_uncapped.or(load.link).filter(|_| old(it.seen)) {
-            self.note_link(server, asked, self.now - self.terms.seen_after);
+            self.note_link(server, asked, at);
         }
         if let Some(asked) = load.uplink.filter(|_| uplink_old) {
-            self.note_uplink(server, asked, self.now - self.terms.seen_after);
+            self.note_uplink(server, asked, at);
         }
     }
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -24,6 +24,9 @@
     fn subscribe(&mut self) {
         self.0.push("subscribe".into());
     }
+    fn inspect(&mut self, server: &ServerId) {
+        self.0.push(format!("inspect {server}"));
+    }
 }
 
 fn package(value: f64) -> Package {
@@ -53,6 +56,8 @@
         link_unit_kb: 100.0,
         uplink_kb: 1000.0,
         uplinks_reported: true,
+        reports_on_probe: false,
+        weights_told: true,
         places: [(Kind::from("k"), 48.0)].into(),
         seen_after: Ms(1000.0),
         reports_every: Ms(2000.0),
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,6 +102,8 @@
     pub over_share: bool,
     /// When a waiting viewing is looked at again.
     pub look_at: Ms,
+    /// The two holders drawn for it whose reports it waits for.
+    pub picks: Vec<ServerId>,
 }
 
 /// What this manager's viewings ask in kB a second, and their number.
@@ -154,12 +156,23 @@
     /// Drawn for each note, from just above 0 to 1: the part of a step that must be this manager's.
     pub lot: f64,
     pub lot_at: Ms,
+    /// When it was last probed, and whether that probe is out.
+    pub probed_at: Ms,
+    pub probe_out: bool,
+    /// When it is probed next for the viewings that play there.
+    pub next_probe: Ms,
 }
 
 impl Default for Uplink {
     fn default() -> Uplink {
         let counted = std::cell::Cell::new((Ms::LONG_AGO, 0.0, 0.0));
-        Uplink { servers: BTreeSet::new(), own: (0.0, 0.0), seen: None, missing: (0.0, Ms::LONG_AGO), counted }
+        Uplink {
+            servers: BTreeSet::new(),
+            own: (0.0, 0.0),
+            seen: None,
+            missing: (0.0, Ms::LONG_AGO),
+            counted,
+        }
     }
 }
 
@@ -167,7 +180,7 @@
     /// Nothing is owed yet and nothing is out.
     pub fn taken(wish: Wish, taken: Ms, rung: Rung, over_share: bool) -> Viewing {
         let (phase, tune_ins, started) = (Phase::Over, Vec::new(), Ms::LONG_AGO);
-        Viewing { wish, taken, phase, rung, started, tune_ins, over_share, look_at: taken }
+        Viewing { wish, taken, phase, rung, started, tune_ins, over_share, look_at: taken, picks: Vec::new() }
     }
 
     pub fn out(&self) -> bool {
@@ -199,6 +212,9 @@
             unsettled_at: Ms::LONG_AGO,
             lot: 1.0,
             lot_at: Ms::LONG_AGO,
+            probed_at: Ms::LONG_AGO,
+            probe_out: false,
+            next_probe: Ms::LONG_AGO,
         }
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -66,6 +66,10 @@
     pub link_unit_kb: f64,
     pub uplink_kb: f64,
     pub uplinks_reported: bool,
+    /// Load reports come only in answer to probes, and those are allowed.
+    pub reports_on_probe: bool,
+    /// False where the list gives all servers one weight, whatever their size.
+    pub weights_told: bool,
     pub places: BTreeMap<Kind, f64>,
     pub seen_after: Ms,
     pub reports_every: Ms,
