--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,8 +51,12 @@
 const AWAY: f64 = 0.5;
 /// Where load is told to probes only: a report counts as known for so many times the lateness of notes, and a
 /// new viewing waits for it for this part of its join target.
-const PROBE_GAP: f64 = 6.0;
+const PROBE_GAP: f64 = 10.0;
 const PROBE_WAIT: f64 = 0.2;
+/// Reports on probes are noisy, and the lowest of many is acted on: a step up must fit this part.
+const PROBED_FILL: f64 = 0.65;
+/// After a step up there may be room for another: it is probed again after so many times that lateness.
+const PROBE_AGAIN: f64 = 1.5;
 /// How old such a report is, over the lateness of notes.
 const REPORT_AGE: f64 = 0.5;
 
@@ -361,7 +365,7 @@
     /// Where load is told to probes only, what is not known of the two picks is asked first, for a bounded time.
     fn inquire(&mut self, viewing: &Viewing, out: &mut dyn Answers) -> bool {
         let wait = self.now + self.package(viewing).join_target * PROBE_WAIT;
-        let known = viewing.picks.iter().filter(|id| !self.probe(id, out)).count();
+        let known = viewing.picks.iter().filter(|id| !self.probe(id, self.note_gap(), out)).count();
         if known == viewing.picks.len() || wait >= viewing.wish.due {
             return false;
         }
@@ -370,8 +374,8 @@
     }
 
     /// Asks a server for its load, once in a gap; true while the report is out.
-    fn probe(&mut self, id: &ServerId, out: &mut dyn Answers) -> bool {
-        let (now, gap, asks) = (self.now, self.note_gap(), self.terms.reports_on_probe);
+    fn probe(&mut self, id: &ServerId, gap: Ms, out: &mut dyn Answers) -> bool {
+        let (now, asks) = (self.now, self.terms.reports_on_probe);
         let Some(it) =
             self.servers.get_mut(id).filter(|it| asks && it.entry.availability == Availability::Up)
         else {
@@ -416,7 +420,7 @@
                     it.next_probe = now + wait;
                 }
                 self.look(&id, now + wait);
-                if !first && self.probe(&id, out) {
+                if !first && self.probe(&id, Ms(0.0), out) {
                     return true;
                 }
             }
@@ -444,11 +448,12 @@
         } else if settled {
             let low = it.census.playing().filter(|it| it.0.rung < it.0.best);
             let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0).then(a.1.cmp(b.1)));
-            let free = self.free_kb(&id, UP_FILL);
+            let fill = if self.terms.reports_on_probe { PROBED_FILL } else { UP_FILL };
+            let free = self.free_kb(&id, fill);
             let room = if self.terms.reports_on_probe {
                 free / self.seen_together(&id)
             } else {
-                self.capacity(&id, UP_FILL) - asks
+                self.capacity(&id, fill) - asks
             };
             let part = |it: &(Asker, &ViewingId)| {
                 let step = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 + 1)) - asks;
@@ -463,12 +468,18 @@
             &id,
             match changed {
                 Some(_) if broken => next,
-                Some(_) => now + self.terms.reports_every * UP_PACE,
+                Some(_) => now + (self.terms.reports_every * UP_PACE).max(self.beat()),
                 None => now + silence,
             },
         );
+        let asks = self.terms.reports_on_probe && changed.is_some() && !broken;
+        let again =
+            if asks { self.terms.seen_after * PROBE_AGAIN * (self.chance.part() + 0.5) } else { silence };
         if let Some(server) = self.servers.get_mut(&id) {
             server.unsettled_at = if broken { now } else { server.unsettled_at };
+            if asks {
+                server.next_probe = server.next_probe.min(now + again);
+            }
         }
         if let Some((vw, rung)) = changed {
             out.step_to(&vw, Rung(rung));
