Live titles are gathered and share streams; viewings count by their package's rate and worth

At fault: rate() knew no join; own parts and others were counted by heads though packages' rates lie 0.7 to 1.4 apart (claim, mean_kb, has_room); steps down went by rung, then lower value, and a lone viewing leaned by rate alone.

--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -140,6 +140,8 @@
         weights_told: true,
         places: kinds.into_iter().map(|(kind, places)| (Kind::from(kind.as_str()), places)).collect(),
         ladder_kb,
+        worth: Vec::new(),
+        join: 1.0,
         seen_after: Ms(ladder.number("seen-after-ms", SPAN)),
         reports_every: Ms(ladder.number("reports-every-ms", SPAN)),
         change_cost: Ms(ladder.number("change-cost-ms", 0.0..=3.6e6)),
@@ -190,6 +192,7 @@
         floor: Rung(floor),
         top: Rung(top),
         seats: part.whole_or("seats", 0..=1_000_000, 0) as usize,
+        live: false,
     }
 }
 
--- a/drill/src/conf.rs
+++ b/drill/src/conf.rs
@@ -50,6 +50,7 @@
         floor: Rung(whole(&extra["lowest-rung"][ix], 0) as usize),
         top: Rung((whole(&extra["top-by-class"][ix], u64::MAX) as usize).min(last_rung)),
         seats: whole(&extra["class-seats"][ix], 0) as usize,
+        live: extra["live"][ix] == true,
     }
 }
 
@@ -73,6 +74,8 @@
             })
             .collect(),
         ladder_kb: numbers(&extra["rates-kb"]),
+        worth: numbers(&extra["worth-by-rung"]),
+        join: extra["join"].as_f64().unwrap_or(1.0),
         cells: whole(&extra["places"], 0),
         racks: whole(&extra["racks"], 0),
         link_unit_kb: number(&extra["link-unit-kb"]),
--- a/front/src/tests.rs
+++ b/front/src/tests.rs
@@ -18,7 +18,17 @@
 
 fn package(name: &str, repeat: Repeat, floor: usize, seats: usize) -> Package {
     let (value, join_target, scale, top) = (1.0, Ms(800.0), 1.0, Rung(2));
-    Package { name: name.into(), value, join_target, repeat, scale, floor: Rung(floor), top, seats }
+    Package {
+        name: name.into(),
+        value,
+        join_target,
+        repeat,
+        scale,
+        floor: Rung(floor),
+        top,
+        seats,
+        live: false,
+    }
 }
 
 fn terms() -> Terms {
@@ -32,6 +42,8 @@
         ],
         tenants: Vec::new(),
         ladder_kb: vec![100.0, 200.0, 400.0],
+        worth: Vec::new(),
+        join: 1.0,
         cells: 3,
         racks: 1,
         link_unit_kb: 10_000.0,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,6 +25,8 @@
 const DOWN_FILL: f64 = 1.15;
 const EASED: f64 = 1.0;
 const UP_FILL: f64 = 0.85;
+/// A newcomer is taken while what all could go down to, with it, asks no more than this part.
+const ROOM: f64 = 0.8;
 /// An uplink asked for more than this is brought down.
 const SHORT: f64 = 1.04;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
@@ -92,6 +94,10 @@
     held_at: BTreeSet<(Ms, ServerId)>,
     uplinks: BTreeMap<Rack, Uplink>,
     own: Own,
+    /// What all that is held would ask at its floors.
+    least_kb: f64,
+    /// What is asked, each part times what it spares.
+    spared_all: f64,
     viewings: BTreeMap<ViewingId, Viewing>,
     /// Viewings without a tune-in out, by when they are looked at again.
     waiting: BTreeSet<(Ms, ViewingId)>,
@@ -125,6 +131,8 @@
             held_at: BTreeSet::new(),
             uplinks: BTreeMap::new(),
             own: (0.0, 0.0),
+            least_kb: 0.0,
+            spared_all: 0.0,
             viewings: BTreeMap::new(),
             waiting: BTreeSet::new(),
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
@@ -327,6 +335,9 @@
         }
         let others = holders.len() > 1;
         let mut viewing = self.viewings[&vw].clone();
+        if holders.iter().any(|id| self.gathers(&viewing, id)) {
+            holders.retain(|id| self.gathers(&viewing, id));
+        }
         viewing.picks.retain(|it| holders.contains(it));
         if viewing.picks.is_empty() {
             while viewing.picks.len() < 2 && !holders.is_empty() {
@@ -433,8 +444,8 @@
         let asks = self.bound(&held);
         let broken = asks > self.capacity(&id, DOWN_FILL);
         let settled = now - it.unsettled_at >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
-        // Alone at a server a manager can't see who is at the top rung there: its other viewings tell.
-        let above = asks / it.own.1 / (self.own.0 / self.own.1);
+        // Alone at a server a manager can't see whose step there costs least worth: its other viewings tell.
+        let leans = |it: &Asker| self.spared(it) * self.own.0 / self.spared_all;
         let changed = if broken {
             let may = |it: &(Asker, &ViewingId)| it.0.rung > self.terms.packages[it.0.package.0].floor;
             let top = it.census.playing().filter(may);
@@ -442,7 +453,7 @@
             let short = asks - self.capacity(&id, EASED);
             let part = |it: &(Asker, &ViewingId)| {
                 let less = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 - 1));
-                short * above >= lot * (asks - less)
+                short * leans(&it.0) >= lot * (asks - less)
             };
             top.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 - 1))
         } else if settled {
@@ -458,7 +469,7 @@
             let part = |it: &(Asker, &ViewingId)| {
                 let step = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 + 1)) - asks;
                 let root = ((DRAWN_PHI * DRAWN_PHI + 4.0 * free / step).max(0.0).sqrt() - DRAWN_PHI) / 2.0;
-                free >= step && room * (root * root * step / free) >= lot * step * above
+                free >= step && room * (root * root * step / free) >= lot * step * leans(&it.0)
             };
             low.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 + 1))
         } else {
@@ -573,6 +584,7 @@
 
     fn count(&mut self, viewing: &Viewing, sign: f64) {
         let rate = self.rate(viewing.wish.package, viewing.rung) * sign;
+        let size = self.size(viewing.wish.package) * sign;
         let (now, keep, asker) = (self.now, self.terms.seen_after * 2.0, self.asker(viewing));
         if viewing.out() {
             let seated = self.seated.entry((viewing.wish.title.clone(), viewing.wish.package)).or_default();
@@ -590,9 +602,9 @@
         } else {
             server.census.remove(asker, &viewing.wish.vw);
         }
-        server.own = added(server.own, (rate, sign));
+        server.own = added(server.own, (rate, size));
         server.ledger.drain(..server.ledger.partition_point(|it| now - it.0 > keep));
-        server.ledger.push_back((now, (rate, sign)));
+        server.ledger.push_back((now, (rate, size)));
         let (look_at, is_empty) = (server.look_at, server.census.is_empty());
         let rack = Rack(server.entry.cell.0 % self.terms.racks.max(1));
         if was_empty != is_empty {
@@ -605,8 +617,11 @@
             }
         }
         let uplink = self.uplinks.entry(rack).or_default();
-        uplink.own = added(uplink.own, (rate, sign));
-        self.own = added(self.own, (rate, sign));
+        uplink.own = added(uplink.own, (rate, size));
+        self.own = added(self.own, (rate, size));
+        let least = self.rate(viewing.wish.package, self.package(viewing).floor);
+        self.spared_all = (self.spared_all + self.spared(&asker) * rate).max(0.0);
+        self.least_kb = (self.least_kb + least * sign).max(0.0);
     }
 
     /// A server is weighed at that time, while anything is held there.
@@ -713,6 +728,18 @@
         }
     }
 
+    /// Viewers of a live title at one server share a stream, so each server gathers one of the live titles that
+    /// this manager holds; all managers see the same names, and so scatter them less without a word.
+    fn gathers(&self, viewing: &Viewing, server: &ServerId) -> bool {
+        let live = |package: PackageIx| self.terms.join < 1.0 && self.terms.packages[package.0].live;
+        if !live(viewing.wish.package) {
+            return true;
+        }
+        let rank = |title: &TitleId| name_sum(&format!("{title}{server}"));
+        let mine = rank(&viewing.wish.title);
+        self.seated.keys().filter(|it| live(it.1)).all(|it| rank(&it.0) <= mine)
+    }
+
     /// Rule 2 for a deduplicated package: what may have run goes on only in its group and its window.
     fn same_group(&self, viewing: &Viewing, server: &Server) -> bool {
         let Repeat::Deduplicated { group, window } = self.package(viewing).repeat else {
@@ -751,8 +778,7 @@
         let length = if all >= 2.0 { cold.fall_window * (1.0 / (all - 1.0)) } else { cold.fall_window * 2.0 };
         let turn = (self.now / length).floor();
         let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
-        let name = server.entry.server.to_string();
-        let shift = name.bytes().fold(0, |sum: u64, byte| (sum * 31 + u64::from(byte)) % 65_521);
+        let shift = name_sum(&server.entry.server.to_string());
         let my_turn = (turn + shift as f64).rem_euclid(managers) == self.terms.me.0 as f64;
         my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
     }
@@ -788,9 +814,32 @@
 
     // The split, its bound and the capacity it is held to.
 
+    fn plain_rate(&self, rung: Rung) -> f64 {
+        self.terms.ladder_kb.get(rung.0).copied().unwrap_or(0.0)
+    }
+
     fn rate(&self, package: PackageIx, rung: Rung) -> f64 {
+        self.plain_rate(rung) * self.size(package)
+    }
+
+    /// What a viewing asks over the ladder's rate. A live one is taken as a further one on its stream: the stream
+    /// itself, whoever began it, shows in what others ask.
+    fn size(&self, package: PackageIx) -> f64 {
         let package = &self.terms.packages[package.0];
-        self.terms.ladder_kb.get(rung.0).copied().unwrap_or(0.0) * package.scale
+        package.scale * if package.live { self.terms.join } else { 1.0 }
+    }
+
+    /// Worth of the step between a rung and the one under it, for each kB a second that it takes; where worth is
+    /// not told, as if a rung earned the same for any rate.
+    fn earns(&self, package: PackageIx, upper: usize) -> f64 {
+        let worth = |rung: usize| self.terms.worth.get(rung).copied();
+        let value = self.terms.packages[package.0].value;
+        let (high, low) =
+            (self.rate(package, Rung(upper)), self.rate(package, Rung(upper.saturating_sub(1))));
+        match (worth(upper), worth(upper.saturating_sub(1))) {
+            (Some(more), Some(less)) => value * (more - less) / (high - low).max(1e-9),
+            _ => value / high.max(1e-9),
+        }
     }
 
     fn asker(&self, viewing: &Viewing) -> Asker {
@@ -810,20 +859,25 @@
         counts.iter().map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
     }
 
-    /// Who goes down first is greatest: the top rung, and there the one over its tenant's share, then the
-    /// lower value, then the one least below its request.
+    /// Rate that a step down from here frees for each worth lost.
+    fn spared(&self, asker: &Asker) -> f64 {
+        1.0 / self.earns(asker.package, asker.rung.0.max(1)).max(1e-12)
+    }
+
+    /// Who goes down first is greatest: the one over its tenant's share, then the one whose step costs least worth
+    /// for the rate that it frees. In one package, whose ladder earns less the higher it goes, that is the top rung.
     fn goes_down(&self, a: &Asker, b: &Asker) -> Ordering {
-        let value = |it: &Asker| self.terms.packages[it.package.0].value;
-        let top = a.rung.cmp(&b.rung).then(a.over_share.cmp(&b.over_share));
-        top.then(value(b).total_cmp(&value(a))).then(below(b).cmp(&below(a)))
+        let costs = |it: &Asker| self.earns(it.package, it.rung.0);
+        let first = a.over_share.cmp(&b.over_share).then(costs(b).total_cmp(&costs(a)));
+        first.then(below(b).cmp(&below(a)))
     }
 
-    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, of
-    /// value.
+    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, whose step
+    /// earns most for the rate that it takes.
     fn goes_up(&self, a: &Asker, b: &Asker) -> Ordering {
-        let value = |it: &Asker| self.terms.packages[it.package.0].value;
+        let earns = |it: &Asker| self.earns(it.package, it.rung.0 + 1);
         let low = below(a).cmp(&below(b)).then(b.over_share.cmp(&a.over_share));
-        low.then(value(a).total_cmp(&value(b)))
+        low.then(earns(a).total_cmp(&earns(b)))
     }
 
     /// The design's split: those who go down first move a rung, one at a time, until the bound holds; those alike
@@ -865,9 +919,10 @@
         let it = &self.servers[server];
         let mut askers = it.census.counts();
         askers.push((mine, 1.0));
-        let (uplink, n) = (self.uplink_of(it), it.own.1 + 1.0);
+        let size = self.size(viewing.wish.package);
+        let (uplink, n) = (self.uplink_of(it), it.own.1 + size);
         let link = self.claim(self.link_kb(it), self.link_seen(it), n, FILL);
-        let all = uplink.own.1 + 1.0;
+        let all = uplink.own.1 + size;
         let part = link.min(self.uplink_claim(self.uplink_seen(uplink), all, FILL) * n / all);
         // In a crowd others do not step down in time: a newcomer asks for no more than is free now.
         let capacity = part.min(it.own.0 + self.free_kb(server, EASED).max(0.0));
@@ -885,17 +940,22 @@
         rung.map_or(mine.best, |it| it.0.rung)
     }
 
-    /// False if even the lowest rung for all who are there breaks a bound.
+    /// False if even the lowest rung for all who are there breaks a bound. How far others can go down is not seen:
+    /// the manager's own viewings, wherever they play, stand for them.
     fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
         let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
+        let floors = self.terms.packages.iter().enumerate().map(|it| self.rate(PackageIx(it.0), it.1.floor));
+        let (usual, count) = floors.fold((0.0, 0.0), |sum, it| (sum.0 + it, sum.1 + 1.0));
+        let kb = self.own.0 + self.middle_kb();
+        let least = (self.least_kb + usual / f64::max(count, 1.0)) / kb.max(1e-6);
         let fits = |told: f64, seen: Seen, own: Own, free: f64| {
             let (capacity, others) = (capacity_of(told, seen), others_kb(told, seen));
-            let n = own.1 + 1.0 + others / self.mean_kb(seen);
             if viewing.over_share {
                 // Past its share a viewing takes only what is free: none of the others steps down for it.
                 others + own.0 + lowest <= capacity * free
             } else {
-                lowest * (n + PHI * n.sqrt()) <= capacity * DOWN_FILL
+                let n = 1.0 + (others + own.0) * least.min(1.0) / lowest.max(1e-6);
+                lowest * (n + PHI * n.sqrt()) <= capacity * ROOM
             }
         };
         let uplink = self.uplink_of(server);
@@ -922,10 +982,13 @@
         &self.uplinks[&self.rack(server)]
     }
 
-    /// Mean rate of a viewing: of this manager's there, else of all that it holds, else of the middle rung.
+    fn middle_kb(&self) -> f64 {
+        self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    /// Mean rate of the ladder: of this manager's viewings there, else of all that it holds, else the middle one.
     fn mean_kb(&self, seen: Seen) -> f64 {
-        let middle = self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0);
-        let (kb, n) = if seen.own.1 >= 1.0 { seen.own } else { added(self.own, (middle, 1.0)) };
+        let (kb, n) = if seen.own.1 > 0.0 { seen.own } else { added(self.own, (self.middle_kb(), 1.0)) };
         (kb / n).max(1e-6)
     }
 
@@ -1163,7 +1226,7 @@
 
 fn added(a: Own, b: Own) -> Own {
     // Nothing held asks nothing, whatever fractions are left over.
-    if a.1 + b.1 < 0.5 {
+    if a.1 + b.1 < 1e-6 {
         (0.0, 0.0)
     } else {
         (a.0 + b.0, a.1 + b.1)
@@ -1192,6 +1255,10 @@
     after
 }
 
+fn name_sum(name: &str) -> u64 {
+    name.bytes().fold(7, |sum: u64, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)) >> 40
+}
+
 fn never_ran(viewing: &Viewing) -> bool {
     !viewing.tune_ins.iter().any(may_have_run)
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -39,6 +39,7 @@
         floor: Rung(0),
         top: Rung(3),
         seats: 0,
+        live: false,
     }
 }
 
@@ -51,6 +52,8 @@
         packages: vec![package(1.0), package(3.0)],
         tenants: vec![Tenant { name: "t".into(), allowance_per_s: 1.0 }],
         ladder_kb: vec![1.0, 2.0, 4.0, 8.0],
+        worth: Vec::new(),
+        join: 1.0,
         cells: 10,
         racks: 2,
         link_unit_kb: 100.0,
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,7 +106,7 @@
     pub picks: Vec<ServerId>,
 }
 
-/// What this manager's viewings ask in kB a second, and their number.
+/// What this manager's viewings ask in kB a second, and over the ladder's rates: their number, each by its package.
 pub type Own = (f64, f64);
 
 /// What is asked of a link or an uplink over what it gives, with the manager's own part at that time.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -30,6 +30,8 @@
     pub top: Rung,
     /// Viewings of one title that a manager may hold; 0 is no limit.
     pub seats: usize,
+    /// Its titles are live: viewers of one at one server and rung share a stream.
+    pub live: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -61,6 +63,10 @@
     pub packages: Vec<Package>,
     pub tenants: Vec<Tenant>,
     pub ladder_kb: Vec<f64>,
+    /// What a viewing earns at each rung.
+    pub worth: Vec<f64>,
+    /// What a further viewer of a live title adds to its stream, as a part of the rate; 1 shares nothing.
+    pub join: f64,
     pub cells: u64,
     pub racks: u64,
     pub link_unit_kb: f64,
