A restarted manager doubts all servers for two fall windows, not for a whole warm-up

On the wire: a restarted manager gets its saved list and after that only changes, in order and none left out. At fault: unsure_until was a whole warm-up, 12 s, though only what started unlisted before the manager did is in doubt. Change: two fall windows.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,6 +62,9 @@
 /// How old such a report is, over the lateness of notes.
 const REPORT_AGE: f64 = 0.5;
 
+/// What had started before this manager did is listed within so many windows of the rule on cold servers.
+const LIST_LAG: f64 = 2.0;
+
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
 /// Each is a condition and an effect; it tells whether it fired.
@@ -125,7 +128,7 @@
         Brain {
             now,
             chance: Chance(seed | 1),
-            unsure_until: now + terms.cold.lasts,
+            unsure_until: now + terms.cold.lasts.min(terms.cold.fall_window * LIST_LAG),
             servers: BTreeMap::new(),
             cells: BTreeMap::new(),
             held_at: BTreeSet::new(),
