--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,11 +4,14 @@
 //! src/terms.rs. docs/design.md says where each rule comes from, docs/on-call.md what is seen in trouble.
 
 use crate::answers::Answers;
-use crate::census::{Asker, Counted, RecentMean};
-use crate::ids::{BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TitleId, TuneInNo, ViewingId};
+use crate::census::{moved, Asker, Counted, RecentMean};
+use crate::chance::Chance;
+use crate::ids::{
+    name_sum, BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TitleId, TuneInNo, ViewingId,
+};
 use crate::state::{
-    Availability, Entry, ListMode, Load, Outcome, Own, Phase, Seen, Server, Topic, TuneIn, Uplink, Viewing,
-    Wish,
+    added, Availability, Entry, ListMode, Load, Outcome, Own, Phase, Seen, Server, Topic, TuneIn, Uplink,
+    Viewing, Wish,
 };
 use crate::terms::{Group, Repeat, Terms};
 use crate::time::{DecayingSum, Ms};
@@ -70,21 +73,6 @@
 /// Each is a condition and an effect; it tells whether it fired.
 const RULES: [Rule; 5] = [Brain::give_up, Brain::tune_in, Brain::hold, Brain::step, Brain::keep_awake];
 
-/// A multiply-with-carry generator.
-struct Chance(u64);
-
-impl Chance {
-    /// From just above 0 to 1.
-    fn part(&mut self) -> f64 {
-        (self.below(1 << 24) + 1) as f64 / f64::from(1 << 24)
-    }
-
-    fn below(&mut self, limit: usize) -> usize {
-        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
-        (((self.0 & 0xffff_ffff) * limit as u64) >> 32) as usize
-    }
-}
-
 pub struct Brain {
     terms: Terms,
     now: Ms,
@@ -152,14 +140,6 @@
         }
     }
 
-    pub fn package_named(&self, name: &str) -> Option<PackageIx> {
-        self.terms.packages.iter().position(|package| package.name == name).map(PackageIx)
-    }
-
-    pub fn tenant_named(&self, name: &str) -> Option<TenantIx> {
-        self.terms.tenants.iter().position(|tenant| tenant.name == name).map(TenantIx)
-    }
-
     // Inputs.
 
     pub fn members(&mut self, now: Ms, mode: ListMode, entries: &[Entry], out: &mut dyn Answers) {
@@ -174,10 +154,7 @@
         for entry in entries {
             self.list(entry);
         }
-        let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
-        let places = up.filter_map(|it| self.terms.places.get(&it.entry.kind));
-        let (sum, count) = places.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
-        self.mean_places = if sum > 0.0 { sum / count } else { 1.0 };
+        self.count_places();
         self.settle(out);
     }
 
@@ -376,7 +353,8 @@
         true
     }
 
-    /// Where load is told to probes only, what is not known of the two picks is asked first, for a bounded time.
+    /// Where load is told to probes only, what is not known of the two picks is asked first, for a bounded
+    /// time.
     fn inquire(&mut self, viewing: &Viewing, out: &mut dyn Answers) -> bool {
         let wait = self.now + self.package(viewing).join_target * PROBE_WAIT;
         let known = viewing.picks.iter().filter(|id| !self.probe(id, self.note_gap(), out)).count();
@@ -413,8 +391,8 @@
     }
 
     /// Each server is weighed once a beat. While the bound is broken, its top-rung viewing steps down; once a
-    /// step fits for a settled spell, the one furthest below its request steps up. A step of which only a part
-    /// is this manager's is made with that chance: one lot is drawn for each note, so that all managers
+    /// step fits for a settled spell, the one furthest below its request steps up. A step of which only a
+    /// part is this manager's is made with that chance: one lot is drawn for each note, so that all managers
     /// together change by what the note asks.
     fn step(&mut self, out: &mut dyn Answers) -> bool {
         let due = self.held_at.iter().take_while(|it| it.0 <= self.now).map(|it| &it.1);
@@ -514,10 +492,6 @@
 
     // Conditions and effects that the rules share.
 
-    fn package(&self, viewing: &Viewing) -> &crate::terms::Package {
-        &self.terms.packages[viewing.wish.package.0]
-    }
-
     fn list(&mut self, entry: &Entry) {
         let cold_until = entry.started.map_or(Ms::LONG_AGO, |start| start + self.terms.cold.lasts);
         let server = self.servers.entry(entry.server.clone());
@@ -541,10 +515,6 @@
         }
     }
 
-    fn cell(&self, number: u64) -> Cell {
-        Cell(number % self.terms.cells.max(1))
-    }
-
     fn take(&mut self, wish: Wish, phase: Phase, tune_ins: Vec<TuneIn>) {
         let rung = self.terms.packages[wish.package.0].floor;
         let asked = wish.tenant.filter(|_| phase == Phase::Waiting);
@@ -568,75 +538,6 @@
         over
     }
 
-    /// Changes a viewing and keeps in step what is counted of it: the waiting, a server's held and its rates.
-    fn amend(&mut self, vw: &ViewingId, change: impl FnOnce(&mut Viewing)) {
-        let Some(mut viewing) = self.viewings.remove(vw) else {
-            return;
-        };
-        self.count(&viewing, -1.0);
-        self.waiting.remove(&(viewing.look_at, vw.clone()));
-        change(&mut viewing);
-        self.count(&viewing, 1.0);
-        if viewing.phase == Phase::Waiting {
-            self.waiting.insert((viewing.look_at, vw.clone()));
-        }
-        if viewing.phase != Phase::Over || viewing.out() {
-            self.viewings.insert(vw.clone(), viewing);
-        }
-    }
-
-    fn count(&mut self, viewing: &Viewing, sign: f64) {
-        let rate = self.rate(viewing.wish.package, viewing.rung) * sign;
-        let size = self.size(viewing.wish.package) * sign;
-        let (now, keep, asker) = (self.now, self.terms.seen_after * 2.0, self.asker(viewing));
-        if viewing.out() {
-            let seated = self.seated.entry((viewing.wish.title.clone(), viewing.wish.package)).or_default();
-            *seated = if sign > 0.0 { *seated + 1 } else { seated.saturating_sub(1) };
-            if *seated == 0 {
-                self.seated.remove(&(viewing.wish.title.clone(), viewing.wish.package));
-            }
-        }
-        let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) else {
-            return;
-        };
-        let (id, was_empty) = (server.entry.server.clone(), server.census.is_empty());
-        if sign > 0.0 {
-            server.census.add(asker, &viewing.wish.vw, viewing.phase == Phase::Playing);
-        } else {
-            server.census.remove(asker, &viewing.wish.vw);
-        }
-        server.own = added(server.own, (rate, size));
-        server.ledger.drain(..server.ledger.partition_point(|it| now - it.0 > keep));
-        server.ledger.push_back((now, (rate, size)));
-        let (look_at, is_empty) = (server.look_at, server.census.is_empty());
-        let rack = Rack(server.entry.cell.0 % self.terms.racks.max(1));
-        if was_empty != is_empty {
-            self.links.weigh(&id, if is_empty { -1.0 } else { 1.0 });
-            self.shared.weigh(&rack, if is_empty { -1.0 } else { 1.0 });
-            if is_empty {
-                self.held_at.remove(&(look_at, id));
-            } else {
-                self.held_at.insert((look_at, id));
-            }
-        }
-        let uplink = self.uplinks.entry(rack).or_default();
-        uplink.own = added(uplink.own, (rate, size));
-        self.own = added(self.own, (rate, size));
-        let least = self.rate(viewing.wish.package, self.package(viewing).floor);
-        self.spared_all = (self.spared_all + self.spared(&asker) * rate).max(0.0);
-        self.least_kb = (self.least_kb + least * sign).max(0.0);
-    }
-
-    /// A server is weighed at that time, while anything is held there.
-    fn look(&mut self, id: &ServerId, at: Ms) {
-        if let Some(server) = self.servers.get_mut(id) {
-            if self.held_at.remove(&(server.look_at, id.clone())) {
-                self.held_at.insert((at, id.clone()));
-            }
-            server.look_at = at;
-        }
-    }
-
     fn waiting_now(&self) -> Option<ViewingId> {
         self.waiting.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone())
     }
@@ -662,7 +563,7 @@
         let viewing = &self.viewings[vw];
         let harmless = match self.package(viewing).repeat {
             Repeat::Idempotent | Repeat::Deduplicated { group: Group::All, .. } => true,
-            _ => never_ran(viewing),
+            _ => viewing.never_ran(),
         };
         if harmless && self.now < viewing.wish.due {
             // By the next note there may be room again.
@@ -680,7 +581,7 @@
         if count == 0 {
             return true;
         }
-        let safe = self.package(viewing).repeat != Repeat::AtMostOnce || never_ran(viewing);
+        let safe = self.package(viewing).repeat != Repeat::AtMostOnce || viewing.never_ran();
         let within = self.terms.budget.is_none_or(|budget| {
             let recent = |times: &VecDeque<Ms>| {
                 (times.len() - times.partition_point(|at| self.now - *at >= budget.span)) as f64
@@ -731,8 +632,8 @@
         }
     }
 
-    /// Viewers of a live title at one server share a stream, so each server gathers one of the live titles that
-    /// this manager holds; all managers see the same names, and so scatter them less without a word.
+    /// Viewers of a live title at one server share a stream, so each server gathers one of the live titles
+    /// that this manager holds; all managers see the same names, and so scatter them less without a word.
     fn gathers(&self, viewing: &Viewing, server: &ServerId) -> bool {
         let live = |package: PackageIx| self.terms.join < 1.0 && self.terms.packages[package.0].live;
         if !live(viewing.wish.package) {
@@ -748,7 +649,7 @@
         let Repeat::Deduplicated { group, window } = self.package(viewing).repeat else {
             return true;
         };
-        viewing.tune_ins.iter().filter(|it| may_have_run(it)).all(|it| {
+        viewing.tune_ins.iter().filter(|it| it.may_have_run()).all(|it| {
             let earlier = self.servers.get(&it.server).map(|it| &it.entry);
             self.now - it.sent < window
                 && match group {
@@ -817,23 +718,8 @@
 
     // The split, its bound and the capacity it is held to.
 
-    fn plain_rate(&self, rung: Rung) -> f64 {
-        self.terms.ladder_kb.get(rung.0).copied().unwrap_or(0.0)
-    }
-
-    fn rate(&self, package: PackageIx, rung: Rung) -> f64 {
-        self.plain_rate(rung) * self.size(package)
-    }
-
-    /// What a viewing asks over the ladder's rate. A live one is taken as a further one on its stream: the stream
-    /// itself, whoever began it, shows in what others ask.
-    fn size(&self, package: PackageIx) -> f64 {
-        let package = &self.terms.packages[package.0];
-        package.scale * if package.live { self.terms.join } else { 1.0 }
-    }
-
-    /// Worth of the step between a rung and the one under it, for each kB a second that it takes; where worth is
-    /// not told, as if a rung earned the same for any rate.
+    /// Worth of the step between a rung and the one under it, for each kB a second that it takes; where worth
+    /// is not told, as if a rung earned the same for any rate.
     fn earns(&self, package: PackageIx, upper: usize) -> f64 {
         let worth = |rung: usize| self.terms.worth.get(rung).copied();
         let value = self.terms.packages[package.0].value;
@@ -867,25 +753,26 @@
         1.0 / self.earns(asker.package, asker.rung.0.max(1)).max(1e-12)
     }
 
-    /// Who goes down first is greatest: the one over its tenant's share, then the one whose step costs least worth
-    /// for the rate that it frees. In one package, whose ladder earns less the higher it goes, that is the top rung.
+    /// Who goes down first is greatest: the one over its tenant's share, then the one whose step costs least
+    /// worth for the rate that it frees. In one package, whose ladder earns less the higher it goes, that is
+    /// the top rung.
     fn goes_down(&self, a: &Asker, b: &Asker) -> Ordering {
         let costs = |it: &Asker| self.earns(it.package, it.rung.0);
         let first = a.over_share.cmp(&b.over_share).then(costs(b).total_cmp(&costs(a)));
-        first.then(below(b).cmp(&below(a)))
+        first.then(b.below().cmp(&a.below()))
     }
 
-    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, whose step
-    /// earns most for the rate that it takes.
+    /// Who goes up first is greatest: the one furthest below its request, within its tenant's share, whose
+    /// step earns most for the rate that it takes.
     fn goes_up(&self, a: &Asker, b: &Asker) -> Ordering {
         let earns = |it: &Asker| self.earns(it.package, it.rung.0 + 1);
-        let low = below(a).cmp(&below(b)).then(b.over_share.cmp(&a.over_share));
+        let low = a.below().cmp(&b.below()).then(b.over_share.cmp(&a.over_share));
         low.then(earns(a).total_cmp(&earns(b)))
     }
 
-    /// The design's split: those who go down first move a rung, one at a time, until the bound holds; those alike
-    /// at once, since the bound over their number is concave: once it holds, it holds for more of them. The last
-    /// one moves only if what is still over is more than the lot's part of its step.
+    /// The design's split: those who go down first move a rung, one at a time, until the bound holds; those
+    /// alike at once, since the bound over their number is concave: once it holds, it holds for more of them.
+    /// The last one moves only if what is still over is more than the lot's part of its step.
     fn split(&self, askers: &[Counted], capacity: f64, lot: f64) -> Vec<Counted> {
         let mut split: Vec<Counted> = Vec::new();
         for (asker, n) in askers {
@@ -943,8 +830,8 @@
         rung.map_or(mine.best, |it| it.0.rung)
     }
 
-    /// False if even the lowest rung for all who are there breaks a bound. How far others can go down is not seen:
-    /// the manager's own viewings, wherever they play, stand for them.
+    /// False if even the lowest rung for all who are there breaks a bound. How far others can go down is not
+    /// seen: the manager's own viewings, wherever they play, stand for them.
     fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
         let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
         let floors = self.terms.packages.iter().enumerate().map(|it| self.rate(PackageIx(it.0), it.1.floor));
@@ -967,29 +854,8 @@
             && (rack.0 <= 0.0 || fits(rack.0, rack.1, rack.2, rack.3))
     }
 
-    fn rack(&self, server: &Server) -> Rack {
-        self.rack_of(server.entry.cell)
-    }
-
-    fn rack_of(&self, cell: Cell) -> Rack {
-        Rack(cell.0 % self.terms.racks.max(1))
-    }
-
-    fn link_kb(&self, server: &Server) -> f64 {
-        let places = |kind| self.terms.places.get(kind).copied().unwrap_or(1.0);
-        let size = if self.terms.weights_told { 1.0 } else { places(&server.entry.kind) / self.mean_places };
-        server.entry.weight * size * self.terms.link_unit_kb
-    }
-
-    fn uplink_of(&self, server: &Server) -> &Uplink {
-        &self.uplinks[&self.rack(server)]
-    }
-
-    fn middle_kb(&self) -> f64 {
-        self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0)
-    }
-
-    /// Mean rate of the ladder: of this manager's viewings there, else of all that it holds, else the middle one.
+    /// Mean rate of the ladder: of this manager's viewings there, else of all that it holds, else the middle
+    /// one.
     fn mean_kb(&self, seen: Seen) -> f64 {
         let (kb, n) = if seen.own.1 > 0.0 { seen.own } else { added(self.own, (self.middle_kb(), 1.0)) };
         (kb / n).max(1e-6)
@@ -1002,8 +868,8 @@
         capacity_of(told, seen) * fill * n / (n + others).max(1e-6)
     }
 
-    /// An uplink pools the swings of many viewings: where it is reported it may be filled further than a link,
-    /// and a shortage of it is sooner more than a swing. One that is not told at all limits nothing.
+    /// An uplink pools the swings of many viewings: where it is reported it may be filled further than a
+    /// link, and a shortage of it is sooner more than a swing. One that is not told at all limits nothing.
     fn uplink_claim(&self, seen: Seen, n: f64, fill: f64) -> f64 {
         match self.terms.uplink_kb {
             told if told > 0.0 => self.claim(told, seen, n, self.pooled(fill)),
@@ -1098,8 +964,8 @@
         link.min(free(self.terms.uplink_kb, seen, uplink.own, self.pooled(fill)))
     }
 
-    /// Each manager probes at times of its own: so many viewings on the link or uplink, with one's own, act on a
-    /// report before it shows what the others made of theirs.
+    /// Each manager probes at times of its own: so many viewings on the link or uplink, with one's own, act
+    /// on a report before it shows what the others made of theirs.
     fn seen_together(&self, server: &ServerId) -> f64 {
         let it = &self.servers[server];
         let others = |told: f64, seen: Seen| others_kb(told, seen) / self.mean_kb(seen);
@@ -1125,8 +991,9 @@
 
     // What is told of links and uplinks.
 
-    /// A lot decides what is made of a note. One of a time before the last lot adds to what was known then and is
-    /// weighed with that lot; one of soon after it shows only a part of what all managers made of that.
+    /// A lot decides what is made of a note. One of a time before the last lot adds to what was known then
+    /// and is weighed with that lot; one of soon after it shows only a part of what all managers made of
+    /// that.
     fn draw_lot(&mut self, server: &ServerId, at: Ms, smoothing: Ms) {
         let (lot, next) = (self.chance.part(), self.now + self.beat());
         if let Some(it) = self.servers.get_mut(server) {
@@ -1140,8 +1007,8 @@
         }
     }
 
-    /// Reports are noisy, and short delivery is told: where viewings play and none was, no more is asked than is
-    /// given.
+    /// Reports are noisy, and short delivery is told: where viewings play and none was, no more is asked than
+    /// is given.
     fn not_short(&self, server: &ServerId, load: Load) -> Load {
         let whole = |it: &Server| it.delivered.0 >= 0.98 && it.census.playing().next().is_some();
         if !self.servers.get(server).is_some_and(whole) {
@@ -1151,10 +1018,6 @@
         Load { link_uncapped: load.link_uncapped.map(most), uplink: load.uplink.map(most), ..load }
     }
 
-    fn note_on_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
-        self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (asked, at));
-    }
-
     fn note_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
         let Some(it) = self.servers.get_mut(server) else {
             return;
@@ -1227,15 +1090,6 @@
     }
 }
 
-fn added(a: Own, b: Own) -> Own {
-    // Nothing held asks nothing, whatever fractions are left over.
-    if a.1 + b.1 < 1e-6 {
-        (0.0, 0.0)
-    } else {
-        (a.0 + b.0, a.1 + b.1)
-    }
-}
-
 /// More of one's own than the whole that is seen: the link is larger than told, or titles run low.
 fn capacity_of(told: f64, seen: Seen) -> f64 {
     told.max(if seen.asked > 0.0 { seen.own.0 / seen.asked } else { 0.0 })
@@ -1245,35 +1099,6 @@
     (seen.asked * capacity_of(told, seen) - seen.own.0).max(0.0)
 }
 
-/// Of the askers like that one, so many at another rung.
-fn moved(askers: &[Counted], from: Asker, count: f64, rung: usize) -> Vec<Counted> {
-    let to = Asker { rung: Rung(rung), ..from };
-    let mut after: Vec<Counted> = askers.to_vec();
-    after.iter_mut().filter(|it| it.0 == from).for_each(|it| it.1 -= count);
-    match after.iter_mut().find(|it| it.0 == to) {
-        Some(there) => there.1 += count,
-        None => after.push((to, count)),
-    }
-    after.retain(|it| it.1 > 0.0);
-    after
-}
-
-fn name_sum(name: &str) -> u64 {
-    name.bytes().fold(7, |sum: u64, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)) >> 40
-}
-
-fn never_ran(viewing: &Viewing) -> bool {
-    !viewing.tune_ins.iter().any(may_have_run)
-}
-
-fn below(asker: &Asker) -> usize {
-    asker.best.0.saturating_sub(asker.rung.0)
-}
-
-fn may_have_run(tune_in: &TuneIn) -> bool {
-    !matches!(tune_in.outcome, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
-}
-
 /// It answers: if it had failed it may have restarted, at the latest just now.
 fn well(server: &mut Server, now: Ms, terms: &Terms) {
     if server.failures > 0 {
@@ -1283,5 +1108,6 @@
     server.shunned_until = Ms::LONG_AGO;
 }
 
+mod ledger;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/brain/ledger.rs
@@ -0,0 +1,142 @@
+//! What the module keeps in step as viewings come, change and go. No decision lies in here.
+
+use super::Brain;
+use crate::ids::{Cell, PackageIx, Rack, Rung, ServerId, TenantIx, ViewingId};
+use crate::state::{added, Availability, Phase, Server, Uplink, Viewing};
+use crate::terms::Package;
+use crate::time::Ms;
+
+impl Brain {
+    pub fn package_named(&self, name: &str) -> Option<PackageIx> {
+        self.terms.packages.iter().position(|package| package.name == name).map(PackageIx)
+    }
+
+    pub fn tenant_named(&self, name: &str) -> Option<TenantIx> {
+        self.terms.tenants.iter().position(|tenant| tenant.name == name).map(TenantIx)
+    }
+
+    /// Changes a viewing and keeps in step what is counted of it: the waiting, a server's held and its rates.
+    pub(super) fn amend(&mut self, vw: &ViewingId, change: impl FnOnce(&mut Viewing)) {
+        let Some(mut viewing) = self.viewings.remove(vw) else {
+            return;
+        };
+        self.count(&viewing, -1.0);
+        self.waiting.remove(&(viewing.look_at, vw.clone()));
+        change(&mut viewing);
+        self.count(&viewing, 1.0);
+        if viewing.phase == Phase::Waiting {
+            self.waiting.insert((viewing.look_at, vw.clone()));
+        }
+        if viewing.phase != Phase::Over || viewing.out() {
+            self.viewings.insert(vw.clone(), viewing);
+        }
+    }
+
+    pub(super) fn count(&mut self, viewing: &Viewing, sign: f64) {
+        let rate = self.rate(viewing.wish.package, viewing.rung) * sign;
+        let size = self.size(viewing.wish.package) * sign;
+        let (now, keep, asker) = (self.now, self.terms.seen_after * 2.0, self.asker(viewing));
+        if viewing.out() {
+            let seated = self.seated.entry((viewing.wish.title.clone(), viewing.wish.package)).or_default();
+            *seated = if sign > 0.0 { *seated + 1 } else { seated.saturating_sub(1) };
+            if *seated == 0 {
+                self.seated.remove(&(viewing.wish.title.clone(), viewing.wish.package));
+            }
+        }
+        let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) else {
+            return;
+        };
+        let (id, was_empty) = (server.entry.server.clone(), server.census.is_empty());
+        if sign > 0.0 {
+            server.census.add(asker, &viewing.wish.vw, viewing.phase == Phase::Playing);
+        } else {
+            server.census.remove(asker, &viewing.wish.vw);
+        }
+        server.own = added(server.own, (rate, size));
+        server.ledger.drain(..server.ledger.partition_point(|it| now - it.0 > keep));
+        server.ledger.push_back((now, (rate, size)));
+        let (look_at, is_empty) = (server.look_at, server.census.is_empty());
+        let rack = Rack(server.entry.cell.0 % self.terms.racks.max(1));
+        if was_empty != is_empty {
+            self.links.weigh(&id, if is_empty { -1.0 } else { 1.0 });
+            self.shared.weigh(&rack, if is_empty { -1.0 } else { 1.0 });
+            if is_empty {
+                self.held_at.remove(&(look_at, id));
+            } else {
+                self.held_at.insert((look_at, id));
+            }
+        }
+        let uplink = self.uplinks.entry(rack).or_default();
+        uplink.own = added(uplink.own, (rate, size));
+        self.own = added(self.own, (rate, size));
+        let least = self.rate(viewing.wish.package, self.package(viewing).floor);
+        self.spared_all = (self.spared_all + self.spared(&asker) * rate).max(0.0);
+        self.least_kb = (self.least_kb + least * sign).max(0.0);
+    }
+
+    /// A server is weighed at that time, while anything is held there.
+    pub(super) fn look(&mut self, id: &ServerId, at: Ms) {
+        if let Some(server) = self.servers.get_mut(id) {
+            if self.held_at.remove(&(server.look_at, id.clone())) {
+                self.held_at.insert((at, id.clone()));
+            }
+            server.look_at = at;
+        }
+    }
+
+    pub(super) fn cell(&self, number: u64) -> Cell {
+        Cell(number % self.terms.cells.max(1))
+    }
+
+    pub(super) fn rack(&self, server: &Server) -> Rack {
+        self.rack_of(server.entry.cell)
+    }
+
+    pub(super) fn rack_of(&self, cell: Cell) -> Rack {
+        Rack(cell.0 % self.terms.racks.max(1))
+    }
+
+    pub(super) fn uplink_of(&self, server: &Server) -> &Uplink {
+        &self.uplinks[&self.rack(server)]
+    }
+
+    pub(super) fn package(&self, viewing: &Viewing) -> &Package {
+        &self.terms.packages[viewing.wish.package.0]
+    }
+
+    pub(super) fn plain_rate(&self, rung: Rung) -> f64 {
+        self.terms.ladder_kb.get(rung.0).copied().unwrap_or(0.0)
+    }
+
+    pub(super) fn rate(&self, package: PackageIx, rung: Rung) -> f64 {
+        self.plain_rate(rung) * self.size(package)
+    }
+
+    /// What a viewing asks over the ladder's rate. A live one is taken as a further one on its stream: the
+    /// stream itself, whoever began it, shows in what others ask.
+    pub(super) fn size(&self, package: PackageIx) -> f64 {
+        let package = &self.terms.packages[package.0];
+        package.scale * if package.live { self.terms.join } else { 1.0 }
+    }
+
+    pub(super) fn link_kb(&self, server: &Server) -> f64 {
+        let places = |kind| self.terms.places.get(kind).copied().unwrap_or(1.0);
+        let size = if self.terms.weights_told { 1.0 } else { places(&server.entry.kind) / self.mean_places };
+        server.entry.weight * size * self.terms.link_unit_kb
+    }
+
+    pub(super) fn middle_kb(&self) -> f64 {
+        self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    pub(super) fn note_on_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
+        self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (asked, at));
+    }
+
+    pub(super) fn count_places(&mut self) {
+        let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
+        let places = up.filter_map(|it| self.terms.places.get(&it.entry.kind));
+        let (sum, count) = places.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
+        self.mean_places = if sum > 0.0 { sum / count } else { 1.0 };
+    }
+}
--- a/src/census.rs
+++ b/src/census.rs
@@ -17,6 +17,26 @@
 /// Askers that are alike, and their number.
 pub type Counted = (Asker, f64);
 
+impl Asker {
+    /// Rungs below the request.
+    pub fn below(&self) -> usize {
+        self.best.0.saturating_sub(self.rung.0)
+    }
+}
+
+/// Of the askers like that one, so many at another rung.
+pub fn moved(askers: &[Counted], from: Asker, count: f64, rung: usize) -> Vec<Counted> {
+    let to = Asker { rung: Rung(rung), ..from };
+    let mut after: Vec<Counted> = askers.to_vec();
+    after.iter_mut().filter(|it| it.0 == from).for_each(|it| it.1 -= count);
+    match after.iter_mut().find(|it| it.0 == to) {
+        Some(there) => there.1 += count,
+        None => after.push((to, count)),
+    }
+    after.retain(|it| it.1 > 0.0);
+    after
+}
+
 #[derive(Clone, Debug, Default)]
 struct Rank {
     all: BTreeSet<ViewingId>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answers;
 pub mod brain;
 pub mod census;
+mod chance;
 pub mod ids;
 pub mod state;
 pub mod terms;
--- a/src/state.rs
+++ b/src/state.rs
@@ -187,12 +187,23 @@
         self.tune_ins.last().is_some_and(|it| it.outcome.is_none())
     }
 
+    pub fn never_ran(&self) -> bool {
+        !self.tune_ins.iter().any(TuneIn::may_have_run)
+    }
+
     /// Where its tune-in is out or it plays.
     pub fn place(&self) -> Option<&ServerId> {
         self.tune_ins.last().filter(|it| it.outcome.is_none()).map(|it| &it.server)
     }
 }
 
+impl TuneIn {
+    /// False where its outcome proves that it never ran.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.outcome, Some(Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent))
+    }
+}
+
 impl Server {
     pub fn new(entry: Entry, cold_until: Ms) -> Server {
         Server {
@@ -223,3 +234,12 @@
         since.fold(self.own, |(kb, n), it| (kb - it.1 .0, n - it.1 .1))
     }
 }
+
+pub fn added(a: Own, b: Own) -> Own {
+    // Nothing held asks nothing, whatever fractions are left over.
+    if a.1 + b.1 < 1e-6 {
+        (0.0, 0.0)
+    } else {
+        (a.0 + b.0, a.1 + b.1)
+    }
+}
