--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -270,8 +270,8 @@
             "INCOMING" => {
                 let vw = values.text("handle")?.into();
                 let best = Rung(values.number("best-rung")?);
-                values.optional::<u64>("bits")?;
-                values.optional::<i64>("expected-ns")?;
+                let bits = values.optional::<u64>("bits")?;
+                let lasts = hint(bits, values.optional::<i64>("expected-ns")?);
                 let owner = values.text("owner")?;
                 let base = values.number("base")?;
                 let title = values.text("item")?.into();
@@ -284,7 +284,7 @@
                     return wanted(priority, "a class of the settings");
                 };
                 let tenant = tenant(brain, owner);
-                brain.incoming(now, Wish { vw, package, tenant, title, base, copies, best, due }, out);
+                brain.incoming(now, Wish { vw, package, tenant, title, base, copies, best, due, lasts }, out);
             }
             "PREEXISTING" => {
                 let vw = values.text("handle")?.into();
@@ -293,18 +293,18 @@
                 values.text("item")?;
                 let title = values.text("title")?.into();
                 let due = values.optional::<i64>("due-ns")?.map_or(Ms::LONG_AGO, ms);
-                values.optional::<i64>("expected-ns")?;
+                let expected = values.optional::<i64>("expected-ns")?;
                 let base = values.number("base")?;
                 let copies = values.number("cells-in-row")?;
                 let best = Rung(values.number("best-rung")?);
-                values.optional::<u64>("bits")?;
+                let lasts = hint(values.optional::<u64>("bits")?, expected);
                 let server = values.text("server")?.into();
                 values.end()?;
                 let Some(package) = brain.package_named(priority) else {
                     return wanted(priority, "a class of the settings");
                 };
                 let tenant = tenant(brain, owner);
-                let wish = Wish { vw, package, tenant, title, base, copies, best, due };
+                let wish = Wish { vw, package, tenant, title, base, copies, best, due, lasts };
                 brain.preexisting(now, wish, server, out);
             }
             "CHANGE" => {
@@ -373,6 +373,11 @@
     }
 }
 
+/// A hint counts where its bit says that it is valid.
+fn hint(bits: Option<u64>, expected: Option<i64>) -> Option<Ms> {
+    expected.filter(|_| bits.is_some_and(|bits| bits & 1 == 1)).map(ms)
+}
+
 fn tenant(brain: &Brain, owner: &str) -> Option<TenantIx> {
     brain.tenant_named(owner)
 }
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -623,6 +623,7 @@
             copies: title.copies,
             best: Rung(watch.asked.best.min(desk.ladder_kb.len().saturating_sub(1))),
             due: presence::due(now, Ms(watch.asked.patience)),
+            lasts: None,
         };
         debug!(viewing = %vw, title = %title.name, package = %watch.asked.package, "taken");
         desk.timers.cancel(&Alarm::Silent(id.clone()));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -163,7 +163,9 @@
         // A manager that takes viewings over did not restart: what it was told of starts is whole.
         self.unsure_until = now;
         let tune_in = TuneIn { server, sent: now, outcome: None };
+        let vw = wish.vw.clone();
         self.take(wish, Phase::Playing, vec![tune_in]);
+        self.amend(&vw, |it| it.started = now);
         self.settle(out);
     }
 
@@ -438,7 +440,7 @@
             };
             top.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 - 1))
         } else if settled {
-            let low = it.census.playing().filter(|it| it.0.rung < it.0.best);
+            let low = it.census.playing().filter(|it| it.0.rung < it.0.best && self.pays_back(it));
             let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0).then(a.1.cmp(b.1)));
             let fill = if self.terms.reports_on_probe { PROBED_FILL } else { UP_FILL };
             let free = self.free_kb(&id, fill);
@@ -748,6 +750,15 @@
         counts.iter().map(|((package, rung), n)| self.rate(*package, *rung) * (n + PHI * n.sqrt())).sum()
     }
 
+    /// False for a viewing that, by its hint, ends before a step up has earned twice what a change costs.
+    fn pays_back(&self, (asker, vw): &(Asker, &ViewingId)) -> bool {
+        let it = &self.viewings[*vw];
+        let worth = |rung: usize| self.terms.worth.get(rung).copied().unwrap_or(rung as f64);
+        let gain = worth(asker.rung.0 + 1) - worth(asker.rung.0);
+        let needs = self.terms.change_cost * (2.0 / gain.max(1e-3));
+        it.wish.lasts.is_none_or(|lasts| it.started + lasts - self.now >= needs)
+    }
+
     /// Rate that a step down from here frees for each worth lost.
     fn spared(&self, asker: &Asker) -> f64 {
         1.0 / self.earns(asker.package, asker.rung.0.max(1)).max(1e-12)
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -102,6 +102,7 @@
         copies: 4,
         best: Rung(3),
         due: Ms(104_000.0),
+        lasts: None,
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,8 @@
     pub copies: u64,
     pub best: Rung,
     pub due: Ms,
+    /// A rough guess of how long it is watched, from its first start.
+    pub lasts: Option<Ms>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
