--- a/bench/src/library.rs
+++ b/bench/src/library.rs
@@ -83,6 +83,7 @@
         }
     }
     fn listen(&mut self, _: &ServerId, _: &str) {}
+    fn probe(&mut self, _: &ServerId, _: &str) {}
     fn hang_up(&mut self, _: &ServerId) {}
 }
 
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -63,6 +63,7 @@
         steps_down,
         broken_off,
         ended,
+        probes,
     } = front.counts();
     let counts = [
         ("asked", "Viewings asked for", asked),
@@ -77,6 +78,7 @@
         ("steps_down", "Rungs lowered while playing", steps_down),
         ("broken_off", "Viewings lost with their server", broken_off),
         ("ended", "Viewings that played and are over", ended),
+        ("probes", "Servers asked for their load", probes),
         ("connections_turned_away", "Connections turned away: too many, or no descriptor free", turned_away),
     ];
     for (name, help, value) in counts {
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -280,4 +280,10 @@
         let server = server.to_string();
         self.0.send(self.0.core_of(&server), Errand::HangUp { server });
     }
+
+    /// One that a core can't take is left to its time-out.
+    fn probe(&mut self, server: &ServerId, address: &str) {
+        let (server, address) = (server.to_string(), address.to_string());
+        self.0.send(self.0.core_of(&server), Errand::Probe { server, address });
+    }
 }
--- a/daemon/src/post.rs
+++ b/daemon/src/post.rs
@@ -67,6 +67,10 @@
     HangUp {
         server: String,
     },
+    Probe {
+        server: String,
+        address: String,
+    },
     /// For tests: the core does nothing for so long.
     StandStill {
         ms: u64,
@@ -89,7 +93,8 @@
     /// False if it is full and the errand can be left undone.
     pub fn put(&self, errand: Errand) -> bool {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-        let can_be_left = matches!(errand, Errand::CallOff { .. } | Errand::LetGo { .. });
+        let can_be_left =
+            matches!(errand, Errand::CallOff { .. } | Errand::LetGo { .. } | Errand::Probe { .. });
         if can_be_left && queue.len() >= MOST_ERRANDS {
             return false;
         }
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -114,6 +114,9 @@
         let mut terms = plan.terms.clone();
         terms.me = ManagerIx(number as u64);
         terms.zone = zone.as_str().into();
+        if plan.day.probes(number) {
+            (terms.reports_on_probe, terms.reports_every) = (true, Ms(0.0));
+        }
         let post = Post {
             listen: &address.to_string(),
             list: &fleet.list.to_string(),
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -86,6 +86,7 @@
     fn reply(&mut self, _: ottersail_front::AskId, _: ottersail_front::Reply) {}
     fn listen(&mut self, _: &ottersail_front::ids::ServerId, _: &str) {}
     fn hang_up(&mut self, _: &ottersail_front::ids::ServerId) {}
+    fn probe(&mut self, _: &ottersail_front::ids::ServerId, _: &str) {}
 }
 
 /// Runs a manager; comes back after SIGTERM or SIGINT, once all that was taken has its answer.
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -4,7 +4,7 @@
 use super::sheet::{Section, Sheet};
 use ottersail::terms::{Repeat, Terms};
 use ottersail::time::Ms;
-use ottersail_judge::record::{PackageTerms, Terms as Judged};
+use ottersail_judge::record::{PackageTerms, Shapes, Terms as Judged};
 use ottersail_standins::{Day, DayPackage, Fault, FAULT_KINDS};
 use std::path::Path;
 
@@ -14,6 +14,8 @@
     pub day: Day,
     pub terms: Terms,
     pub grace: Ms,
+    /// What managers of two shapes may differ by.
+    pub factor: f64,
 }
 
 const SECONDS: std::ops::RangeInclusive<f64> = 0.0..=3600.0;
@@ -66,6 +68,7 @@
         seed: day.whole("seed", 0..=u64::MAX),
         seconds: day.number("seconds", 1.0..=3600.0),
         managers: managers as usize,
+        probing: fleet.whole_or("probing", 0..=managers, 0) as usize,
         zones,
         servers: fleet.whole("servers", 1..=2000) as usize,
         racks: terms.racks,
@@ -98,9 +101,13 @@
         come_again: part(&players, "come-again", 0.8),
         faults,
     };
+    if day.probing > 0 && !rules.flag_or("probes-allowed", false) {
+        fleet.complain("probing", "needs probes, but [rules] has no probes-allowed = yes");
+    }
+    let factor = fleet.number_or("shapes-factor", 1.0..=100.0, 2.0);
     let complaints = sheet.complaints();
     if complaints.is_empty() {
-        Ok(Plan { day, terms, grace: Ms(grace) })
+        Ok(Plan { day, terms, grace: Ms(grace), factor })
     } else {
         Err(complaints)
     }
@@ -129,7 +136,9 @@
             let may_repeat = it.repeat != Repeat::AtMostOnce;
             (it.name.clone(), PackageTerms { may_repeat, floor: it.floor.0, seats: it.seats })
         };
+        let shapes = Shapes { new_from: self.day.managers - self.day.probing, factor: self.factor };
         Judged {
+            shapes: (self.day.probing > 0).then_some(shapes),
             drain_grace: self.grace.0,
             cold: terms.cold.lasts.0,
             start_capacity: terms.cold.start_capacity,
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -124,6 +124,21 @@
         name: (*name).to_string(),
         allowance_per_s: part.number("allowance-per-s", 0.0..=1e9),
     };
+    let worth = if ladder.get("worth").is_some() { ladder.numbers("worth", 0.0..=1.0) } else { Vec::new() };
+    if !worth.is_empty() && worth.len() != ladder_kb.len() {
+        ladder.complain("worth", format!("one figure for each of the {} rungs", ladder_kb.len()));
+    }
+    let join = ladder.number_or("join", 0.0..=1.0, 1.0);
+    for (_, part) in sheet.sections("package").iter().filter(|it| it.1.flag_or("live", false)) {
+        if join >= 1.0 {
+            part.complain("live", "shares streams, but [ladder] has no join under 1");
+        }
+    }
+    let reports_on_probe = ladder.flag_or("reports-on-probe", false);
+    let probes_allowed = rules.flag_or("probes-allowed", false);
+    if reports_on_probe && !probes_allowed {
+        ladder.complain("reports-on-probe", "needs probes, but [rules] has no probes-allowed = yes");
+    }
     let kinds = ladder.pairs("places", 1.0..=1e9);
     Terms {
         me: ManagerIx(number),
@@ -136,14 +151,14 @@
         link_unit_kb: ladder.number("link-unit-kb", 0.001..=1e12),
         uplink_kb: ladder.number_or("rack-link-kb", 0.0..=1e12, 0.0),
         uplinks_reported: ladder.flag_or("uplinks-reported", true),
-        reports_on_probe: false,
-        weights_told: true,
+        reports_on_probe,
+        weights_told: ladder.flag_or("weights-told", true),
         places: kinds.into_iter().map(|(kind, places)| (Kind::from(kind.as_str()), places)).collect(),
         ladder_kb,
-        worth: Vec::new(),
-        join: 1.0,
+        worth,
+        join,
         seen_after: Ms(ladder.number("seen-after-ms", SPAN)),
-        reports_every: Ms(ladder.number("reports-every-ms", SPAN)),
+        reports_every: Ms(ladder.number("reports-every-ms", 0.0..=*SPAN.end())),
         change_cost: Ms(ladder.number("change-cost-ms", 0.0..=3.6e6)),
         max_tune_ins: rules.whole("max-tune-ins", 1..=100) as usize,
         max_stay_away: rules.get("max-stay-away-ms").map(|_| Ms(rules.number("max-stay-away-ms", SPAN))),
@@ -192,7 +207,7 @@
         floor: Rung(floor),
         top: Rung(top),
         seats: part.whole_or("seats", 0..=1_000_000, 0) as usize,
-        live: false,
+        live: part.flag_or("live", false),
     }
 }
 
@@ -209,6 +224,7 @@
 
 /// Writes a manager's file; [`read_manager`] reads the same terms from it.
 pub fn write_manager(terms: &Terms, post: &Post) -> String {
+    let yes = |it: bool| if it { "yes" } else { "no" };
     let join = |all: &[f64]| all.iter().map(f64::to_string).collect::<Vec<_>>().join(", ");
     let Post { listen, list, keys, grace, list_wait, silence, cores } = post;
     let places: Vec<String> = terms.places.iter().map(|(kind, places)| format!("{kind}:{places}")).collect();
@@ -220,21 +236,29 @@
     );
     text += &format!(
         "[ladder]\nrates-kb = {}\nlink-unit-kb = {}\nrack-link-kb = {}\nuplinks-reported = {}\ncells = {}\n\
-         racks = {}\nplaces = {}\nseen-after-ms = {}\nreports-every-ms = {}\nchange-cost-ms = {}\n\n",
+         racks = {}\nplaces = {}\nseen-after-ms = {}\nreports-every-ms = {}\nchange-cost-ms = {}\n\
+         reports-on-probe = {}\nweights-told = {}\njoin = {}\n",
         join(&terms.ladder_kb),
         terms.link_unit_kb,
         terms.uplink_kb,
-        if terms.uplinks_reported { "yes" } else { "no" },
+        yes(terms.uplinks_reported),
         terms.cells,
         terms.racks,
         places.join(", "),
         terms.seen_after.0,
         terms.reports_every.0,
-        terms.change_cost.0
+        terms.change_cost.0,
+        yes(terms.reports_on_probe),
+        yes(terms.weights_told),
+        terms.join
     );
+    if !terms.worth.is_empty() {
+        text += &format!("worth = {}\n", join(&terms.worth));
+    }
     text += &format!(
-        "[rules]\ndrain-grace-ms = {}\ncold-ms = {}\nstart-capacity = {}\nfall-multiple = {}\nfall-ms = {}\n\
+        "\n[rules]\nprobes-allowed = {}\ndrain-grace-ms = {}\ncold-ms = {}\nstart-capacity = {}\nfall-multiple = {}\nfall-ms = {}\n\
          max-tune-ins = {}\ncross-price = {}\n",
+        yes(terms.reports_on_probe),
         grace.0,
         terms.cold.lasts.0,
         terms.cold.start_capacity,
@@ -251,9 +275,12 @@
         text += &format!("budget-free = {free}\nbudget-ratio = {ratio}\nbudget-span-ms = {}\n", span.0);
     }
     for it in &terms.packages {
-        text += &format!(
-            "\n[package {}]\nvalue = {}\njoin-target-ms = {}\nscale = {}\nfloor = {}\ntop = {}\nseats = {}\n",
-            it.name, it.value, it.join_target.0, it.scale, it.floor.0, it.top.0, it.seats
+        text +=
+            &format!(
+            "\n[package {}]\nvalue = {}\njoin-target-ms = {}\nscale = {}\nfloor = {}\ntop = {}\nseats = {}\n\
+             live = {}\n",
+            it.name, it.value, it.join_target.0, it.scale, it.floor.0, it.top.0, it.seats,
+            yes(it.live)
         );
         text += &match it.repeat {
             Repeat::Idempotent => "repeat = safe\n".to_string(),
@@ -293,9 +320,27 @@
         read_manager(Path::new("m.ini"), text)
     }
 
+    const NEW: &str =
+        "cells = 12\nworth = 0.2, 0.6, 1\njoin = 0.3\nreports-on-probe = yes\nweights-told = no";
+
+    #[test]
+    fn what_is_not_said_leaves_the_shape_of_before() {
+        let it = read(FILE).unwrap().terms;
+        assert!(!it.reports_on_probe && it.weights_told && it.worth.is_empty() && it.join == 1.0);
+        assert!(it.packages.iter().all(|it| !it.live));
+    }
+
     #[test]
-    fn what_is_written_is_read_again() {
-        let first = read(FILE).unwrap();
+    fn no_notes_at_all_can_be_said() {
+        let it = read(&FILE.replace("reports-every-ms = 3000", "reports-every-ms = 0")).unwrap();
+        assert_eq!(it.terms.reports_every, Ms(0.0));
+    }
+
+    #[test_case(FILE.to_string(); "the shape of before")]
+    #[test_case(FILE.replace("cells = 12", NEW).replace("[rules]", "[rules]\nprobes-allowed = yes")
+        .replace("seats = 4", "seats = 4\nlive = yes"); "probes and shared streams")]
+    fn what_is_written_is_read_again(text: String) {
+        let first = read(&text).unwrap();
         let post = Post {
             listen: "127.0.0.1:8080",
             list: "127.0.0.1:8500",
@@ -317,6 +362,10 @@
     #[test_case("repeat = safe", "repeat = often", "expected one of safe, unsafe, keyed"; "an unknown word")]
     #[test_case("listen = 127.0.0.1:8080", "listen = here", "expected an address like"; "no address")]
     #[test_case("zone = a", "zone = a\nzoen = b", "m.ini:5: zoen is not known in [manager]"; "an unknown key")]
+    #[test_case("cells = 12", "cells = 12\nreports-on-probe = yes", "needs probes, but [rules] has no probes-allowed"; "probes needed but not allowed")]
+    #[test_case("cells = 12", "cells = 12\njoin = 1.5", "m.ini:18: join"; "a share of a stream over one")]
+    #[test_case("floor = 1", "floor = 1\nlive = yes", "live: shares streams, but [ladder] has no join under 1"; "live without a share")]
+    #[test_case("cells = 12", "cells = 12\nworth = 0.5, 1", "one figure for each of the 3 rungs"; "worth of other rungs")]
     #[test_case("[list]", "[lits]", "[list] is missing"; "a section with another name")]
     fn contradictions_are_told(was: &str, becomes: &str, expected: &str) {
         let told = read(&FILE.replace(was, becomes)).unwrap_err().join("\n");
--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, StatusCode};
 use ottersail_cores::{vigil, Claim, Stage};
 use ottersail_front::tape::Told;
-use ottersail_front::{AskId, Ms, Reply, SetUpEnd};
+use ottersail_front::{AskId, Ms, Reply, SetUpEnd, PROBE_PATIENCE};
 use ottersail_net::{Body, Client, Clock, Exec, Failure, Line, Timer};
 use ottersail_tickets::Keys;
 use ottersail_wire::catalogue::{self, read_servers, read_titles, INDEX_HEADER};
@@ -281,6 +281,20 @@
                 let task = self.exec.spawn(worker.hear(server.clone(), address));
                 self.streams.borrow_mut().insert(server, task);
             }
+            Errand::Probe { server, address } => self.spawn(async move {
+                let patience = Duration::from_secs_f64(PROBE_PATIENCE.0 / 1e3);
+                let sent = worker.client.exchange(
+                    &address,
+                    worker.errand(Method::GET, &address, "/load"),
+                    4096,
+                    || true,
+                );
+                let answer = within(patience, sent).await.and_then(Result::ok);
+                let answer = answer.filter(|it| it.status == StatusCode::NO_CONTENT);
+                let told = answer
+                    .and_then(|it| Some(it.headers.get(report::HEADER)?.to_str().ok().map(Report::read)?));
+                worker.tell(Told::Probed { server, report: told }).await;
+            }),
             Errand::StandStill { ms } => std::thread::sleep(Duration::from_millis(ms)),
             Errand::HangUp { server } => drop(self.streams.borrow_mut().remove(&server)),
         }
--- a/front/src/decisions.rs
+++ b/front/src/decisions.rs
@@ -26,6 +26,8 @@
         out: &mut dyn Answers,
     );
     fn dropped(&mut self, now: Ms, vw: &ViewingId, out: &mut dyn Answers);
+    /// How a probe ended. Decisions that never ask for one need not care.
+    fn echo(&mut self, _: Ms, _: &ServerId, _: Outcome, _: Load, _: &mut dyn Answers) {}
 }
 
 /// How a tune-in or a viewing ended.
@@ -82,4 +84,8 @@
     fn dropped(&mut self, now: Ms, vw: &ViewingId, out: &mut dyn Answers) {
         Brain::dropped(self, now, vw, out);
     }
+
+    fn echo(&mut self, now: Ms, server: &ServerId, outcome: Outcome, load: Load, out: &mut dyn Answers) {
+        Brain::echo(self, now, server, outcome, load, out);
+    }
 }
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -22,6 +22,8 @@
 /// Requests that may wait for the answer to one viewing: a player that reloads while it waits.
 const MOST_PENDING: usize = 4;
 /// Patience may be told from here to there, in milliseconds.
+/// A probe without an answer is given up after this time.
+pub const PROBE_PATIENCE: Ms = Ms(250.0);
 const PATIENCE: std::ops::RangeInclusive<f64> = 50.0..=120_000.0;
 
 /// What the front itself reads of the settings.
@@ -49,6 +51,7 @@
     Silent(WatchId),
     Over(WatchId),
     Linger(ViewingId),
+    Probe(ServerId),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,6 +94,7 @@
     pub steps_down: u64,
     pub broken_off: u64,
     pub ended: u64,
+    pub probes: u64,
 }
 
 pub struct Front {
@@ -123,6 +127,8 @@
     sources: BTreeMap<(String, usize), (Vec<u8>, Weak<Source>)>,
     sweep_sources_at: usize,
     draining: bool,
+    /// Probes that are out, one for a server at most.
+    probes: BTreeSet<ServerId>,
     counts: Counts,
 }
 
@@ -161,8 +167,19 @@
     /// The list is always asked for.
     fn subscribe(&mut self) {}
 
-    /// No probes here yet: the terms never say that they are needed.
-    fn inspect(&mut self, _: &ServerId) {}
+    /// Its end is told in any case, and never from in here: without an address at the next moment.
+    fn inspect(&mut self, server: &ServerId) {
+        if !self.desk.probes.insert(server.clone()) {
+            return;
+        }
+        self.desk.counts.probes += 1;
+        let address = self.desk.addresses.get(server);
+        let until = self.desk.now + address.map_or(Ms(0.0), |_| PROBE_PATIENCE);
+        if let Some(address) = address {
+            self.out.probe(server, address);
+        }
+        self.desk.timers.set(Alarm::Probe(server.clone()), until);
+    }
 }
 
 impl Front {
@@ -198,6 +215,7 @@
             sources: BTreeMap::new(),
             sweep_sources_at: 64,
             draining: false,
+            probes: BTreeSet::new(),
             counts: Counts::default(),
         };
         let brain = decisions(terms, &mut Hand { desk: &mut desk, out });
@@ -450,6 +468,19 @@
         }
     }
 
+    /// A probe was answered, or failed. What comes after it was given up is not told.
+    pub fn probed(&mut self, now: Ms, server: &ServerId, report: Option<Report>, out: &mut dyn Orders) {
+        self.at(now);
+        if !self.desk.probes.remove(server) {
+            return;
+        }
+        self.desk.timers.cancel(&Alarm::Probe(server.clone()));
+        let outcome = if report.is_some() { Outcome::Served } else { Outcome::NoAnswer };
+        let Front { brain, desk } = self;
+        let load = report.map(load).unwrap_or_default();
+        brain.echo(now, server, outcome, load, &mut Hand { desk, out });
+    }
+
     /// The stream of notes from a server broke or fell silent: what plays there is lost.
     pub fn server_lost(&mut self, now: Ms, server: &ServerId, out: &mut dyn Orders) {
         let desk = self.at(now);
@@ -544,6 +575,7 @@
                 Alarm::Silent(id) => self.over(&id, "no reload", Outcome::CalledOff, out),
                 Alarm::Over(id) => self.over(&id, "played to its end", Outcome::Served, out),
                 Alarm::Linger(vw) => self.let_go(now, &vw, out),
+                Alarm::Probe(server) => self.probed(now, &server, None, out),
             }
         }
     }
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -14,7 +14,7 @@
 mod timers;
 mod watch;
 
-pub use front::{Counts, Front, House};
+pub use front::{Counts, Front, House, PROBE_PATIENCE};
 pub use orders::{AskId, Asked, Orders, Reply, SetUp, SetUpEnd, WatchId};
 pub use ottersail::answers::Answers;
 pub use ottersail::brain::Brain;
--- a/front/src/orders.rs
+++ b/front/src/orders.rs
@@ -92,4 +92,6 @@
     /// Hold a stream of notes from that server, until told that it is not wanted.
     fn listen(&mut self, server: &ServerId, address: &str);
     fn hang_up(&mut self, server: &ServerId);
+    /// Ask a server for its load; tell by `probed`, within `PROBE_PATIENCE`.
+    fn probe(&mut self, server: &ServerId, address: &str);
 }
--- a/front/src/tape.rs
+++ b/front/src/tape.rs
@@ -13,17 +13,52 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Told {
-    Asked { ask: AskId, asked: Asked },
-    Reloaded { ask: AskId, watch: WatchId, unread: Option<u64> },
-    Left { ask: AskId },
-    SetUpEnded { vw: String, no: usize, end: SetUpEnd, report: Report },
-    RungChanged { vw: String, rung: usize, playlist: Option<String> },
-    LetGo { vw: String },
-    Noted { server: String, note: Note },
-    ServerLost { server: String },
-    Listed { index: u64, list: Vec<Listed> },
+    Asked {
+        ask: AskId,
+        asked: Asked,
+    },
+    Reloaded {
+        ask: AskId,
+        watch: WatchId,
+        unread: Option<u64>,
+    },
+    Left {
+        ask: AskId,
+    },
+    SetUpEnded {
+        vw: String,
+        no: usize,
+        end: SetUpEnd,
+        report: Report,
+    },
+    RungChanged {
+        vw: String,
+        rung: usize,
+        playlist: Option<String>,
+    },
+    LetGo {
+        vw: String,
+    },
+    Noted {
+        server: String,
+        note: Note,
+    },
+    ServerLost {
+        server: String,
+    },
+    Listed {
+        index: u64,
+        list: Vec<Listed>,
+    },
     ListFailed,
-    Titled { titles: Vec<Title> },
+    /// The answer to a probe; `None` if there was none.
+    Probed {
+        server: String,
+        report: Option<Report>,
+    },
+    Titled {
+        titles: Vec<Title>,
+    },
     TimeHasCome,
     Drain,
 }
@@ -47,6 +82,7 @@
             Told::ServerLost { server } => front.server_lost(now, &server.as_str().into(), out),
             Told::Listed { index, list } => front.listed(now, *index, list, out),
             Told::ListFailed => front.list_failed(now, out),
+            Told::Probed { server, report } => front.probed(now, &server.as_str().into(), *report, out),
             Told::Titled { titles } => front.titled(now, titles),
             Told::TimeHasCome => front.time_has_come(now, out),
             Told::Drain => front.drain(now),
@@ -118,4 +154,11 @@
             out.hang_up(server);
         }
     }
+
+    fn probe(&mut self, server: &ServerId, address: &str) {
+        self.line(format!("probe {server} {address}"));
+        if let Some(out) = &mut self.out {
+            out.probe(server, address);
+        }
+    }
 }
--- a/judge/src/record.rs
+++ b/judge/src/record.rs
@@ -22,6 +22,17 @@
     /// Further tune-ins of a manager: so many, plus so many a viewing taken, in any such span.
     pub budget: Option<(f64, f64, f64)>,
     pub packages: BTreeMap<String, PackageTerms>,
+    /// Managers of two shapes before the same servers, where the day has both.
+    #[serde(default)]
+    pub shapes: Option<Shapes>,
+}
+
+/// Managers from this number on are of the new shape; neither shape may get more than `factor` times what the other
+/// gets for each viewing asked, nor be blocked that much more often.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shapes {
+    pub new_from: usize,
+    pub factor: f64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/judge/src/rules/tests.rs
+++ b/judge/src/rules/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::record::PackageTerms;
+use crate::record::{PackageTerms, Shapes};
 use test_case::test_case;
 
 fn terms() -> Terms {
@@ -12,6 +12,7 @@
         fall: 1000.0,
         budget: Some((1.0, 0.5, 5000.0)),
         packages: [("clips".into(), package(true, 0, 0)), ("rides".into(), package(false, 1, 1))].into(),
+        shapes: None,
     }
 }
 
@@ -56,6 +57,29 @@
     broken
 }
 
+// Ten viewings asked of a manager of each shape.
+#[test_case(2, 2, 6.0, 6.0, true; "alike")]
+#[test_case(0, 2, 6.0, 4.0, false; "the new shape is blocked")]
+#[test_case(4, 0, 6.0, 6.0, false; "the old shape is blocked")]
+#[test_case(0, 0, 6.0, 3.5, true; "within the factor")]
+#[test_case(0, 0, 6.0, 2.5, false; "the new shape plays far less")]
+#[test_case(0, 0, 2.5, 6.0, false; "the old shape plays far less")]
+fn neither_shape_starves(old: u64, new: u64, old_value: f64, new_value: f64, holds: bool) {
+    let terms = Terms { shapes: Some(Shapes { new_from: 1, factor: 2.0 }), ..terms() };
+    let mut events = Vec::new();
+    for (manager, blocked, earned) in [(0, old, old_value), (1, new, new_value)] {
+        for it in 0..10 {
+            let ask = it + 100 * manager as u64;
+            let (package, title) = ("clips".into(), "t".into());
+            events.push(Event::Asked { ask, manager, package, title, patience: 1000.0, first: true });
+            events.push(answered(ask, if it < blocked { 503 } else { 200 }));
+            events.push(Event::Watched { ask, offered: 8.0, earned, stalled: 0.0 });
+        }
+    }
+    let lines: Vec<Line> = events.into_iter().map(|event| Line { at: 0.0, event }).collect();
+    assert_eq!(judge(&terms, &lines).holds(), holds);
+}
+
 const END: f64 = 90_000.0;
 
 fn end() -> (f64, Event) {
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -153,6 +153,9 @@
     HangUp {
         server: ServerNo,
     },
+    Probe {
+        server: ServerNo,
+    },
 }
 
 #[derive(Default)]
@@ -201,6 +204,9 @@
     fn hang_up(&mut self, at: &ServerId) {
         self.orders.push(Order::HangUp { server: server(at) });
     }
+    fn probe(&mut self, at: &ServerId, _: &str) {
+        self.orders.push(Order::Probe { server: server(at) });
+    }
 }
 
 struct Post {
@@ -757,6 +763,13 @@
                 }
             }
             Order::HangUp { server } => _ = self.links.servers[server.0].listeners.remove(&manager),
+            // One that is not answered is given up by the front's own clock.
+            Order::Probe { server } => {
+                if self.links.servers[server.0].alive && !self.kept[server.0].silent {
+                    let report = Some(Report { delivered: None, ..self.links.report(server) });
+                    self.notify(manager, 0.0, Told::Probed { server: name(server), report });
+                }
+            }
         }
     }
 
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -7,6 +7,8 @@
     /// Viewers come for so long.
     pub seconds: f64,
     pub managers: usize,
+    /// So many of them, the last ones, are told load in answer to probes only.
+    pub probing: usize,
     pub zones: Vec<String>,
     pub servers: usize,
     pub racks: u64,
@@ -136,6 +138,11 @@
 }
 
 impl Day {
+    /// True for a manager that is told load in answer to probes only.
+    pub fn probes(&self, manager: usize) -> bool {
+        manager + self.probing >= self.managers
+    }
+
     pub fn faults_of(&self, kind: FaultKind, second: f64) -> impl Iterator<Item = &Fault> {
         self.faults.iter().filter(move |it| it.kind == kind && it.start <= second && second < it.end)
     }
