--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,7 +56,7 @@
 const AWAY: f64 = 0.5;
 /// Where load is told to probes only: a report counts as known for so many times the lateness of notes, and a
 /// new viewing waits for it for this part of its join target.
-const PROBE_GAP: f64 = 10.0;
+const PROBE_GAP: f64 = 14.0;
 const PROBE_WAIT: f64 = 0.2;
 /// Reports on probes are noisy, and the lowest of many is acted on: a step up must fit this part.
 const PROBED_FILL: f64 = 0.65;
@@ -402,30 +402,27 @@
             return false;
         };
         let (now, next) = (self.now, self.now + self.beat());
-        let mut silence = self.note_gap() * STALE;
-        if self.terms.reports_on_probe {
-            silence = self.note_gap();
-            let it = &self.servers[&id];
-            if it.next_probe <= now && it.census.playing().any(|it| it.0.rung < it.0.best) {
-                // Those who are handed viewings at the same moment must not ask, and act, in step.
-                let first = it.next_probe == Ms::LONG_AGO;
-                let wait = silence * (self.chance.part() + if first { 0.0 } else { 0.5 });
-                if let Some(it) = self.servers.get_mut(&id) {
-                    it.next_probe = now + wait;
-                }
+        let asks = self.terms.reports_on_probe;
+        let silence = self.note_gap() * if asks { 1.0 } else { STALE };
+        let (before, next_probe) = (&self.servers[&id], self.servers[&id].next_probe);
+        if asks && next_probe <= now {
+            // Those who are handed viewings at the same moment must not ask, and act, in step.
+            let first = next_probe == Ms::LONG_AGO;
+            let wanted = !first && before.census.playing().any(|it| it.0.rung < it.0.best);
+            let wait = silence * (self.chance.part() + if first { 0.0 } else { 0.5 });
+            self.servers.get_mut(&id).into_iter().for_each(|it| it.next_probe = now + wait);
+            if wanted && self.probe(&id, Ms(0.0), out) {
                 self.look(&id, now + wait);
-                if !first && self.probe(&id, Ms(0.0), out) {
-                    return true;
-                }
+                return true;
             }
-        } else if now - self.servers[&id].lot_at >= silence {
+        } else if !asks && now - before.lot_at >= silence {
             // Notes stay out: what is usual elsewhere stands in for them, and shortage would still be told.
             self.draw_lot(&id, now, Ms(0.0));
         }
         let it = &self.servers[&id];
         let (lot, held) = (it.lot, it.census.counts());
-        let asks = self.bound(&held);
-        let broken = asks > self.capacity(&id, DOWN_FILL);
+        let own_asks = self.bound(&held);
+        let broken = own_asks > self.capacity(&id, DOWN_FILL);
         let settled = now - it.unsettled_at >= self.note_gap() * SETTLED + self.terms.change_cost * PAID_BACK;
         // Alone at a server a manager can't see whose step there costs least worth: its other viewings tell.
         let leans = |it: &Asker| self.spared(it) * self.own.0 / self.spared_all;
@@ -433,24 +430,20 @@
             let may = |it: &(Asker, &ViewingId)| it.0.rung > self.terms.packages[it.0.package.0].floor;
             let top = it.census.playing().filter(may);
             let top = top.max_by(|a, b| self.goes_down(&a.0, &b.0).then(a.1.cmp(b.1)));
-            let short = asks - self.capacity(&id, EASED);
+            let short = own_asks - self.capacity(&id, EASED);
             let part = |it: &(Asker, &ViewingId)| {
                 let less = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 - 1));
-                short * leans(&it.0) >= lot * (asks - less)
+                short * leans(&it.0) >= lot * (own_asks - less)
             };
             top.filter(part).map(|(asker, vw)| (vw.clone(), asker.rung.0 - 1))
         } else if settled {
             let low = it.census.playing().filter(|it| it.0.rung < it.0.best && self.pays_back(it));
             let low = low.max_by(|a, b| self.goes_up(&a.0, &b.0).then(a.1.cmp(b.1)));
-            let fill = if self.terms.reports_on_probe { PROBED_FILL } else { UP_FILL };
-            let free = self.free_kb(&id, fill);
-            let room = if self.terms.reports_on_probe {
-                free / self.seen_together(&id)
-            } else {
-                self.capacity(&id, fill) - asks
-            };
+            let free = self.free_kb(&id, if asks { PROBED_FILL } else { UP_FILL });
+            let room =
+                if asks { free / self.seen_together(&id) } else { self.capacity(&id, UP_FILL) - own_asks };
             let part = |it: &(Asker, &ViewingId)| {
-                let step = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 + 1)) - asks;
+                let step = self.bound(&moved(&held, it.0, 1.0, it.0.rung.0 + 1)) - own_asks;
                 let root = ((DRAWN_PHI * DRAWN_PHI + 4.0 * free / step).max(0.0).sqrt() - DRAWN_PHI) / 2.0;
                 free >= step && room * (root * root * step / free) >= lot * step * leans(&it.0)
             };
@@ -458,23 +451,20 @@
         } else {
             None
         };
-        self.look(
-            &id,
-            match changed {
-                Some(_) if broken => next,
-                Some(_) => now + (self.terms.reports_every * UP_PACE).max(self.beat()),
-                None => now + silence,
-            },
-        );
-        let asks = self.terms.reports_on_probe && changed.is_some() && !broken;
+        let raised = changed.is_some() && !broken;
         let again =
-            if asks { self.terms.seen_after * PROBE_AGAIN * (self.chance.part() + 0.5) } else { silence };
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.unsettled_at = if broken { now } else { server.unsettled_at };
-            if asks {
-                server.next_probe = server.next_probe.min(now + again);
-            }
+            self.terms.seen_after * PROBE_AGAIN * if asks && raised { self.chance.part() + 0.5 } else { 0.0 };
+        if let Some(it) = self.servers.get_mut(&id) {
+            it.unsettled_at = if broken { now } else { it.unsettled_at };
+            it.next_probe = if raised { it.next_probe.min(now + again) } else { it.next_probe };
         }
+        let at = match changed {
+            Some(_) if broken => next,
+            Some(_) => now + (self.terms.reports_every * UP_PACE).max(self.beat()),
+            None if asks => self.servers[&id].next_probe.max(next),
+            None => now + silence,
+        };
+        self.look(&id, at);
         if let Some((vw, rung)) = changed {
             out.step_to(&vw, Rung(rung));
             self.amend(&vw, |it| it.rung = Rung(rung));
@@ -584,13 +574,16 @@
             return true;
         }
         let safe = self.package(viewing).repeat != Repeat::AtMostOnce || viewing.never_ran();
-        let within = self.terms.budget.is_none_or(|budget| {
+        safe && self.budget_left() && count < self.terms.max_tune_ins
+    }
+
+    fn budget_left(&self) -> bool {
+        self.terms.budget.is_none_or(|budget| {
             let recent = |times: &VecDeque<Ms>| {
                 (times.len() - times.partition_point(|at| self.now - *at >= budget.span)) as f64
             };
             recent(&self.further) + 1.0 <= budget.free + budget.ratio * recent(&self.taken)
-        });
-        safe && within && count < self.terms.max_tune_ins
+        })
     }
 
     /// A holder that is only shunned or paced may be had again soon; one without room refuses.
@@ -691,7 +684,7 @@
 
     fn time_out(&self, viewing: &Viewing, others: bool) -> Ms {
         let left = viewing.wish.due - self.now;
-        let again = viewing.tune_ins.len() + 1 < self.terms.max_tune_ins && others;
+        let again = viewing.tune_ins.len() + 1 < self.terms.max_tune_ins && others && self.budget_left();
         if !again || self.package(viewing).repeat == Repeat::AtMostOnce {
             return left;
         }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -858,3 +858,163 @@
     it.now = it.now + Ms(1.0);
     assert!(it.counted(&it.uplinks[&rack]) < after);
 }
+
+/// Load is told to probes only; notes are one second late.
+fn probing() -> Terms {
+    Terms { reports_on_probe: true, reports_every: Ms(0.0), ..terms() }
+}
+
+fn told(asked: f64) -> Load {
+    Load { link_uncapped: Some(asked), uplink: Some(0.1), ..Load::default() }
+}
+
+fn asked_for(it: &mut Brain) -> Said {
+    let mut said = Said::default();
+    it.incoming(it.now, wish("new"), &mut said);
+    said
+}
+
+// Load that only probes tell is asked of the two picks; the viewing goes to the emptier once both have answered.
+#[test]
+fn the_picks_are_asked_first() {
+    let mut it = brain(probing(), 2);
+    let mut said = asked_for(&mut it);
+    said.0.sort();
+    assert_eq!(said.0, ["inspect s0", "inspect s1"]);
+    let (mut one, mut both, now) = (Said::default(), Said::default(), it.now + Ms(20.0));
+    it.echo(now, &"s0".into(), Outcome::Served, told(0.9), &mut one);
+    assert!(one.0.is_empty(), "{:?}", one.0);
+    it.echo(now, &"s1".into(), Outcome::Served, told(0.1), &mut both);
+    assert!(both.0.iter().any(|it| it.starts_with("relay s1")), "{:?}", both.0);
+}
+
+#[test_case(199.0, 0; "still waited for")]
+#[test_case(200.0, 1; "a fifth of the join target is all")]
+fn probes_that_stay_out_hold_up_nobody(later: f64, relays: usize) {
+    let mut it = brain(probing(), 2);
+    asked_for(&mut it);
+    let mut said = Said::default();
+    it.bell(it.now + Ms(later), BellTag(0), &mut said);
+    assert_eq!(said.0.iter().filter(|it| it.starts_with("relay")).count(), relays);
+}
+
+#[test]
+fn no_probe_where_load_is_told_otherwise() {
+    let mut it = brain(terms(), 2);
+    assert!(!asked_for(&mut it).0.iter().any(|it| it.starts_with("inspect")));
+}
+
+// Boxes that lose the answers of tune-ins still answer probes.
+#[test_case(Outcome::Served, 1; "an answer proves nothing")]
+#[test_case(Outcome::TurnedAway, 1; "nor does a full table of probes")]
+#[test_case(Outcome::NoConnection, 2; "a dead one does")]
+fn a_probe_clears_no_failure(outcome: Outcome, failures: u32) {
+    let mut it = brain(probing(), 1);
+    it.judge(&"s0".into(), Outcome::NoAnswer);
+    let later = it.now + Ms(1500.0);
+    it.echo(later, &"s0".into(), outcome, told(0.5), &mut Said::default());
+    assert_eq!(it.servers[&"s0".into()].failures, failures);
+}
+
+#[test_case(1.0, 1.0; "none was told: reports are noisy")]
+#[test_case(0.8, 1.3; "one was told")]
+fn no_more_is_asked_than_given_where_no_shortage_is_told(delivered: f64, expected: f64) {
+    let mut it = brain(probing(), 1);
+    playing(&mut it, "a", "s0", 1);
+    server(&mut it, "s0").delivered = (delivered, it.now);
+    it.echo(it.now, &"s0".into(), Outcome::Served, told(1.3), &mut Said::default());
+    assert_eq!(it.servers[&"s0".into()].seen.map(|it| it.asked), Some(expected));
+}
+
+#[test]
+fn places_stand_in_for_weights_that_are_not_told() {
+    let places = [(Kind::from("k"), 20.0), (Kind::from("large"), 60.0)].into();
+    let mut it = brain(Terms { weights_told: false, places, ..terms() }, 1);
+    let large = Entry { kind: "large".into(), ..entry("s1", 1) };
+    it.members(it.now, ListMode::Incremental, &[large], &mut Said::default());
+    let kb = |id: &str| it.link_kb(&it.servers[&id.into()]);
+    assert_eq!((kb("s0"), kb("s1")), (50.0, 150.0));
+}
+
+fn live() -> Terms {
+    let mut terms = Terms { join: 0.25, ..terms() };
+    terms.packages[0].live = true;
+    terms
+}
+
+#[test]
+fn a_live_viewing_counts_as_a_further_one() {
+    let it = brain(live(), 1);
+    assert_eq!((it.rate(PackageIx(0), Rung(3)), it.rate(PackageIx(1), Rung(3))), (2.0, 8.0));
+}
+
+// All managers that know the same live titles gather each on the same servers.
+#[test]
+fn each_server_gathers_one_live_title() {
+    let mut it = brain(live(), 8);
+    let mut held = Vec::new();
+    for title in ["one", "two", "three"] {
+        let mut wish = wish(title);
+        wish.title = title.into();
+        it.take(wish, Phase::Playing, vec![tried("s0", None)]);
+        held.push(it.viewings[&title.into()].clone());
+    }
+    for id in (0..8).map(|cell| ServerId::from(format!("s{cell}").as_str())) {
+        assert_eq!(held.iter().filter(|viewing| it.gathers(viewing, &id)).count(), 1);
+    }
+    let mut other = wish("recorded");
+    other.package = PackageIx(1);
+    let other = Viewing::taken(other, it.now, Rung(0), false);
+    assert!(it.gathers(&other, &"s0".into()));
+}
+
+// A step of the dear package frees twice as much for the same worth.
+#[test]
+fn the_step_that_costs_least_worth_for_its_rate_goes_down_first() {
+    let mut terms = Terms { worth: vec![0.2, 0.5, 0.8, 1.0], ..terms() };
+    (terms.packages[0].scale, terms.packages[1].scale) = (1.0, 16.0);
+    let it = brain(terms, 0);
+    assert!(it.goes_down(&asker(1, 2, false), &asker(0, 3, false)).is_gt());
+    assert!(it.goes_down(&asker(1, 2, false), &asker(0, 3, true)).is_lt(), "over its share comes first");
+}
+
+#[test_case(Some(20_000.0), true; "long")]
+#[test_case(Some(3_000.0), false; "ends soon")]
+#[test_case(None, true; "no hint")]
+fn a_step_up_must_be_paid_back(lasts: Option<f64>, pays: bool) {
+    let mut it = brain(Terms { worth: vec![0.2, 0.5, 0.8, 1.0], ..terms() }, 1);
+    let viewing = playing(&mut it, "a", "s0", 1);
+    let now = it.now;
+    it.amend(&"a".into(), |it| (it.started, it.wish.lasts) = (now, lasts.map(Ms)));
+    let vw = ViewingId::from("a");
+    assert_eq!(it.pays_back(&(it.asker(&viewing), &vw)), pays);
+}
+
+// Others' floors are not seen: ten of ours at rung 2 that could all go to rung 0 tell that others could, too.
+#[test_case(2, true; "others can go down")]
+#[test_case(0, false; "nobody can")]
+fn room_is_judged_by_how_far_ones_own_could_go_down(rung: usize, room: bool) {
+    let mut it = brain(terms(), 2);
+    for vw in 0..100 {
+        playing(&mut it, &vw.to_string(), "s1", rung);
+    }
+    server(&mut it, "s0").seen = Some(Seen { asked: 0.9, own: (0.0, 0.0), at: it.now });
+    let viewing = add(&mut it, "new", Phase::Waiting, 0, vec![]);
+    assert_eq!(it.has_room(&viewing, &it.servers[&"s0".into()]), room);
+}
+
+// What started unlisted before the manager did is listed soon; a whole warm-up of doubt emptied the fleet.
+#[test]
+fn a_restarted_manager_doubts_for_two_fall_windows() {
+    let it = Brain::born(Ms(5000.0), 1, terms(), &mut Said::default());
+    assert_eq!(it.unsure_until, Ms(7000.0));
+}
+
+#[test_case(4, 350.0; "another can follow")]
+#[test_case(0, 4000.0; "the budget is spent")]
+fn a_tune_in_that_none_can_follow_gets_its_time(free: usize, expected: f64) {
+    let budget = Some(Budget { free: free as f64, ratio: 0.0, span: Ms(1000.0) });
+    let mut it = brain(Terms { budget, ..terms() }, 2);
+    let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![]);
+    assert_eq!(it.time_out(&viewing, true), Ms(expected));
+}
