--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -291,8 +291,8 @@
                 );
                 let answer = within(patience, sent).await.and_then(Result::ok);
                 let answer = answer.filter(|it| it.status == StatusCode::NO_CONTENT);
-                let told = answer
-                    .and_then(|it| Some(it.headers.get(report::HEADER)?.to_str().ok().map(Report::read)?));
+                let told =
+                    answer.and_then(|it| it.headers.get(report::HEADER)?.to_str().ok().map(Report::read));
                 worker.tell(Told::Probed { server, report: told }).await;
             }),
             Errand::StandStill { ms } => std::thread::sleep(Duration::from_millis(ms)),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -598,9 +598,12 @@
         all.map(|id| &self.servers[id]).filter(|it| it.entry.availability == Availability::Up)
     }
 
-    /// Rule 5: seats, set-ups included.
+    /// Rule 5: seats, set-ups included; and no rung is both the floor's and one that the viewer can use.
     fn seat_free(&self, viewing: &Viewing) -> bool {
         let seats = self.package(viewing).seats;
+        if viewing.wish.best < self.package(viewing).floor {
+            return false;
+        }
         let of = (viewing.wish.title.clone(), viewing.wish.package);
         seats == 0 || self.seated.get(&of).is_none_or(|it| *it < seats)
     }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -396,6 +396,18 @@
     assert_eq!(it.seat_free(&viewing), free);
 }
 
+// The floor would be past what the viewer can use: no rung may be set.
+#[test_case(1, false; "under the floor")]
+#[test_case(2, true; "at the floor")]
+fn rule_5_a_viewer_who_can_not_use_the_floor_is_blocked(best: usize, free: bool) {
+    let mut terms = terms();
+    terms.packages[0].floor = Rung(2);
+    let mut it = brain(terms, 1);
+    let mut viewing = add(&mut it, "a", Phase::Waiting, 2, vec![]);
+    viewing.wish.best = Rung(best);
+    assert_eq!(it.seat_free(&viewing), free);
+}
+
 #[test]
 fn rule_5_no_rung_under_the_floor() {
     let mut terms = terms();
