--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,7 +29,7 @@
 const EASED: f64 = 1.0;
 const UP_FILL: f64 = 0.85;
 /// A newcomer is taken while what all could go down to, with it, asks no more than this part.
-const ROOM: f64 = 0.8;
+const ROOM: f64 = 0.65;
 /// An uplink asked for more than this is brought down.
 const SHORT: f64 = 1.04;
 /// Short delivery is explained by a link that was asked for this much of what would cause it.
