--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,7 +64,6 @@
 const PROBE_AGAIN: f64 = 1.5;
 /// How old such a report is, over the lateness of notes.
 const REPORT_AGE: f64 = 0.5;
-
 /// What had started before this manager did is listed within so many windows of the rule on cold servers.
 const LIST_LAG: f64 = 2.0;
 
@@ -171,7 +170,7 @@
 
     pub fn incoming(&mut self, now: Ms, wish: Wish, out: &mut dyn Answers) {
         self.now = now;
-        let span = self.terms.budget.map_or(Ms(0.0), |it| it.span);
+        let span = self.terms.budget.map_or(Ms(0.0), |it| it.span + self.terms.tick);
         for times in [&mut self.taken, &mut self.further] {
             times.drain(..times.partition_point(|at| now - *at > span));
         }
@@ -355,8 +354,7 @@
         true
     }
 
-    /// Where load is told to probes only, what is not known of the two picks is asked first, for a bounded
-    /// time.
+    /// Where load is told to probes only, what is not known of the two picks is asked first, not for long.
     fn inquire(&mut self, viewing: &Viewing, out: &mut dyn Answers) -> bool {
         let wait = self.now + self.package(viewing).join_target * PROBE_WAIT;
         let known = viewing.picks.iter().filter(|id| !self.probe(id, self.note_gap(), out)).count();
@@ -370,9 +368,8 @@
     /// Asks a server for its load, once in a gap; true while the report is out.
     fn probe(&mut self, id: &ServerId, gap: Ms, out: &mut dyn Answers) -> bool {
         let (now, asks) = (self.now, self.terms.reports_on_probe);
-        let Some(it) =
-            self.servers.get_mut(id).filter(|it| asks && it.entry.availability == Availability::Up)
-        else {
+        let may = |it: &&mut Server| asks && it.entry.availability == Availability::Up;
+        let Some(it) = self.servers.get_mut(id).filter(may) else {
             return false;
         };
         if !it.probe_out && now - it.probed_at >= gap {
@@ -579,10 +576,13 @@
 
     fn budget_left(&self) -> bool {
         self.terms.budget.is_none_or(|budget| {
-            let recent = |times: &VecDeque<Ms>| {
-                (times.len() - times.partition_point(|at| self.now - *at >= budget.span)) as f64
+            // What lies on a window's edge counts against it: no clock tells on which side.
+            let recent = |times: &VecDeque<Ms>, span: Ms| {
+                (times.len() - times.partition_point(|at| self.now - *at >= span)) as f64
             };
-            recent(&self.further) + 1.0 <= budget.free + budget.ratio * recent(&self.taken)
+            let (tick, span) = (self.terms.tick, budget.span);
+            let taken = recent(&self.taken, span - tick);
+            recent(&self.further, span + tick) + 1.0 <= budget.free + budget.ratio * taken
         })
     }
 
@@ -840,11 +840,10 @@
     /// False if even the lowest rung for all who are there breaks a bound. How far others can go down is not
     /// seen: the manager's own viewings, wherever they play, stand for them.
     fn has_room(&self, viewing: &Viewing, server: &Server) -> bool {
-        let lowest = self.rate(viewing.wish.package, self.package(viewing).floor);
-        let floors = self.terms.packages.iter().enumerate().map(|it| self.rate(PackageIx(it.0), it.1.floor));
-        let (usual, count) = floors.fold((0.0, 0.0), |sum, it| (sum.0 + it, sum.1 + 1.0));
+        let floor = self.package(viewing).floor;
+        let lowest = self.rate(viewing.wish.package, floor);
         let kb = self.own.0 + self.middle_kb();
-        let least = (self.least_kb + usual / f64::max(count, 1.0)) / kb.max(1e-6);
+        let least = (self.least_kb + self.plain_rate(floor)) / kb.max(1e-6);
         let fits = |told: f64, seen: Seen, own: Own, free: f64| {
             let (capacity, others) = (capacity_of(told, seen), others_kb(told, seen));
             if viewing.over_share {
@@ -861,8 +860,7 @@
             && (rack.0 <= 0.0 || fits(rack.0, rack.1, rack.2, rack.3))
     }
 
-    /// Mean rate of the ladder: of this manager's viewings there, else of all that it holds, else the middle
-    /// one.
+    /// Mean rate of the ladder: of this manager's viewings there, else of all that it holds with a middle one.
     fn mean_kb(&self, seen: Seen) -> f64 {
         let (kb, n) = if seen.own.1 > 0.0 { seen.own } else { added(self.own, (self.middle_kb(), 1.0)) };
         (kb / n).max(1e-6)
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -1030,3 +1030,15 @@
     let viewing = add(&mut it, "a", Phase::Waiting, 0, vec![]);
     assert_eq!(it.time_out(&viewing, true), Ms(expected));
 }
+
+// A further tune-in on the edge of the window counts, a viewing taken there does not.
+#[test_case(1010.0, 0.0, true; "both within or past the window")]
+#[test_case(1009.0, 0.0, false; "a further one on the edge")]
+#[test_case(1010.0, 995.0, false; "a viewing taken on the edge")]
+fn rule_6_holds_on_the_edge_of_a_window(further: f64, taken: f64, allowed: bool) {
+    let budget = Some(Budget { free: 0.0, ratio: 1.0, span: Ms(1000.0) });
+    let mut it = brain(Terms { budget, ..terms() }, 1);
+    it.further = vec![it.now - Ms(further)].into();
+    it.taken = vec![it.now - Ms(taken)].into();
+    assert_eq!(it.budget_left(), allowed);
+}
