--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -363,7 +363,7 @@
     #[test_case("listen = 127.0.0.1:8080", "listen = here", "expected an address like"; "no address")]
     #[test_case("zone = a", "zone = a\nzoen = b", "m.ini:5: zoen is not known in [manager]"; "an unknown key")]
     #[test_case("cells = 12", "cells = 12\nreports-on-probe = yes", "needs probes, but [rules] has no probes-allowed"; "probes needed but not allowed")]
-    #[test_case("cells = 12", "cells = 12\njoin = 1.5", "m.ini:18: join"; "a share of a stream over one")]
+    #[test_case("cells = 12", "cells = 12\njoin = 1.5", "m.ini:19: join: expected a number from 0 to 1"; "a share of a stream over one")]
     #[test_case("floor = 1", "floor = 1\nlive = yes", "live: shares streams, but [ladder] has no join under 1"; "live without a share")]
     #[test_case("cells = 12", "cells = 12\nworth = 0.5, 1", "one figure for each of the 3 rungs"; "worth of other rungs")]
     #[test_case("[list]", "[lits]", "[list] is missing"; "a section with another name")]
