--- a/bench/src/timed.rs
+++ b/bench/src/timed.rs
@@ -2,7 +2,7 @@
 
 use ottersail_front::decisions::{Decisions, Ended};
 use ottersail_front::ids::{BellTag, PackageIx, ServerId, TenantIx, ViewingId};
-use ottersail_front::state::{Entry, ListMode, Load, Topic, Wish};
+use ottersail_front::state::{Entry, ListMode, Load, Outcome, Topic, Wish};
 use ottersail_front::{Answers, Ms};
 use std::time::{Duration, Instant};
 
@@ -65,4 +65,8 @@
     fn dropped(&mut self, now: Ms, vw: &ViewingId, out: &mut dyn Answers) {
         self.time(|it| it.dropped(now, vw, out));
     }
+
+    fn echo(&mut self, now: Ms, server: &ServerId, outcome: Outcome, load: Load, out: &mut dyn Answers) {
+        self.time(|it| it.echo(now, server, outcome, load, out));
+    }
 }
