What a viewing counts for, and what stands in for weights, decide: back in the module

Found on a last reading: size() (a live viewing counts as join of its rate) and link_kb() (places stand in for weights) had been moved to src/brain/ledger.rs with the bookkeeping, though both decide and that file says that nothing in it does.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -492,16 +492,7 @@
             self.links.forget(&entry.server);
         }
         let before = std::mem::replace(&mut server.entry, entry.clone());
-        let (cell, rack) = (self.cell(before.cell.0), self.rack_of(before.cell));
-        self.cells.entry(cell).or_default().remove(&entry.server);
-        self.uplinks.entry(rack).or_default().servers.remove(&entry.server);
-        self.cells.entry(self.cell(entry.cell.0)).or_default().insert(entry.server.clone());
-        let next = self.rack_of(entry.cell);
-        self.uplinks.entry(next).or_default().servers.insert(entry.server.clone());
-        if !self.servers[&entry.server].census.is_empty() {
-            self.shared.weigh(&rack, -1.0);
-            self.shared.weigh(&next, 1.0);
-        }
+        self.register(entry, &before);
     }
 
     fn take(&mut self, wish: Wish, phase: Phase, tune_ins: Vec<TuneIn>) {
@@ -527,10 +518,6 @@
         over
     }
 
-    fn waiting_now(&self) -> Option<ViewingId> {
-        self.waiting.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone())
-    }
-
     fn join_target(&self) -> Ms {
         self.terms.packages.iter().map(|it| it.join_target).min().unwrap_or(Ms(1e3))
     }
@@ -716,6 +703,19 @@
 
     // The split, its bound and the capacity it is held to.
 
+    /// What a viewing asks over the ladder's rate. A live one is taken as a further one on its stream: the
+    /// stream itself, whoever began it, shows in what others ask.
+    fn size(&self, package: PackageIx) -> f64 {
+        let package = &self.terms.packages[package.0];
+        package.scale * if package.live { self.terms.join } else { 1.0 }
+    }
+
+    fn link_kb(&self, server: &Server) -> f64 {
+        let places = |kind| self.terms.places.get(kind).copied().unwrap_or(1.0);
+        let size = if self.terms.weights_told { 1.0 } else { places(&server.entry.kind) / self.mean_places };
+        server.entry.weight * size * self.terms.link_unit_kb
+    }
+
     /// Worth of the step between a rung and the one under it, for each kB a second that it takes; where worth
     /// is not told, as if a rung earned the same for any rate.
     fn earns(&self, package: PackageIx, upper: usize) -> f64 {
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -2,7 +2,7 @@
 
 use super::Brain;
 use crate::ids::{Cell, PackageIx, Rack, Rung, ServerId, TenantIx, ViewingId};
-use crate::state::{added, Availability, Phase, Server, Uplink, Viewing};
+use crate::state::{added, Availability, Entry, Phase, Server, Uplink, Viewing};
 use crate::terms::Package;
 use crate::time::Ms;
 
@@ -112,19 +112,6 @@
         self.plain_rate(rung) * self.size(package)
     }
 
-    /// What a viewing asks over the ladder's rate. A live one is taken as a further one on its stream: the
-    /// stream itself, whoever began it, shows in what others ask.
-    pub(super) fn size(&self, package: PackageIx) -> f64 {
-        let package = &self.terms.packages[package.0];
-        package.scale * if package.live { self.terms.join } else { 1.0 }
-    }
-
-    pub(super) fn link_kb(&self, server: &Server) -> f64 {
-        let places = |kind| self.terms.places.get(kind).copied().unwrap_or(1.0);
-        let size = if self.terms.weights_told { 1.0 } else { places(&server.entry.kind) / self.mean_places };
-        server.entry.weight * size * self.terms.link_unit_kb
-    }
-
     pub(super) fn middle_kb(&self) -> f64 {
         self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0)
     }
@@ -139,4 +126,22 @@
         let (sum, count) = places.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
         self.mean_places = if sum > 0.0 { sum / count } else { 1.0 };
     }
+
+    pub(super) fn waiting_now(&self) -> Option<ViewingId> {
+        self.waiting.first().filter(|it| it.0 <= self.now).map(|it| it.1.clone())
+    }
+
+    /// Which servers stand in a cell and in a rack.
+    pub(super) fn register(&mut self, entry: &Entry, before: &Entry) {
+        let (cell, rack) = (self.cell(before.cell.0), self.rack_of(before.cell));
+        self.cells.entry(cell).or_default().remove(&entry.server);
+        self.uplinks.entry(rack).or_default().servers.remove(&entry.server);
+        self.cells.entry(self.cell(entry.cell.0)).or_default().insert(entry.server.clone());
+        let next = self.rack_of(entry.cell);
+        self.uplinks.entry(next).or_default().servers.insert(entry.server.clone());
+        if !self.servers[&entry.server].census.is_empty() {
+            self.shared.weigh(&rack, -1.0);
+            self.shared.weigh(&next, 1.0);
+        }
+    }
 }
