--- a/src/brain.rs
+++ b/src/brain.rs
@@ -860,7 +860,7 @@
             && (rack.0 <= 0.0 || fits(rack.0, rack.1, rack.2, rack.3))
     }
 
-    /// Mean rate of the ladder: of this manager's viewings there, else of all that it holds with a middle one.
+    /// Mean rate of the ladder: of this manager's viewings there, else of all it holds and a middle one.
     fn mean_kb(&self, seen: Seen) -> f64 {
         let (kb, n) = if seen.own.1 > 0.0 { seen.own } else { added(self.own, (self.middle_kb(), 1.0)) };
         (kb / n).max(1e-6)
