--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the program is made of: sockets, signals, settings, logs round the library `ottersail-front`; rehearsals.
 
 pub mod metrics;
+pub mod node;
 pub mod owner;
 pub mod post;
 pub mod rehearse;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! The session manager as a program.
 
 use clap::{Parser, Subcommand};
-use ottersail_daemon::{rehearse, replay, run, settings};
+use ottersail_daemon::{node, rehearse, replay, run, settings};
 use ottersail_judge::{judge, record, Verdict};
 use std::fs::File;
 use std::io::BufReader;
@@ -38,6 +38,8 @@
         #[arg(long, hide = true, value_parser = stall)]
         stall: Option<(usize, u64)>,
     },
+    /// Plays a manager on the live platform, as the file says that BALANCER_CONFIG names, until SIGTERM.
+    Node,
     /// Reads a manager's or a day's settings and tells all that is wrong with them.
     Check { settings: PathBuf },
     /// Plays a day on loopback, managers, servers, players and faults, and judges it. Ends 0 if all rules hold.
@@ -72,7 +74,7 @@
 
 fn main() -> ExitCode {
     let line = Line::parse();
-    let quiet = !matches!(line.job, Job::Run { .. });
+    let quiet = !matches!(line.job, Job::Run { .. } | Job::Node);
     let log = line.log.clone().unwrap_or_else(|| if quiet { "warn" } else { "info" }.to_string());
     let filter = match EnvFilter::try_new(&log) {
         Ok(filter) => filter,
@@ -90,6 +92,15 @@
             Ok(()) => ExitCode::SUCCESS,
             Err(complaints) => complain(&complaints),
         },
+        Job::Node => {
+            let Some(path) = std::env::var_os("BALANCER_CONFIG").filter(|it| !it.is_empty()) else {
+                return complain(&["BALANCER_CONFIG must name the configuration file".to_string()]);
+            };
+            match node::run(path.into()) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(complaints) => complain(&complaints),
+            }
+        }
         Job::Check { settings } => match check(&settings) {
             Ok(what) => {
                 println!("{}: {what}", settings.display());
--- /dev/null
+++ b/daemon/src/node.rs
@@ -0,0 +1,182 @@
+//! `ottersail node`: one manager on the live platform. Sockets, signals and the clock round `ottersail-platform`.
+
+mod channel;
+mod lines;
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use lines::Sockets;
+use ottersail::time::Ms;
+use ottersail_net::{block_on, executor, listen, Clock, Exec, Listener, Timer};
+use ottersail_platform::config::{self, Start};
+use ottersail_platform::node::Node;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+use tracing::{debug, info, warn};
+
+/// After SIGTERM new set-ups are taken for so long at least, and what stands is kept for so long at most.
+const EARS: Ms = Ms(800.0);
+const FAREWELL: Ms = Ms(3_000.0);
+/// After a failed accept nothing is accepted for so long.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// All tasks of the manager hold it; none holds it across a wait.
+pub(crate) struct Hub {
+    pub exec: Exec,
+    pub clock: Clock,
+    pub node: RefCell<Node>,
+    pub sockets: RefCell<Sockets>,
+    pub channel: RefCell<String>,
+    /// Wakes the command channel's task when its address changes.
+    pub moved: RefCell<Option<Waker>>,
+    armed: Cell<f64>,
+    ringer: RefCell<Option<Waker>>,
+}
+
+impl Hub {
+    pub fn now(&self) -> Ms {
+        Ms(self.clock.now())
+    }
+
+    /// One input of the node, at this moment.
+    pub fn with<T>(&self, what: impl FnOnce(&mut Node, Ms, &mut Sockets) -> T) -> T {
+        let now = self.now();
+        let mut node = self.node.borrow_mut();
+        let done = what(&mut node, now, &mut self.sockets.borrow_mut());
+        if node.next().is_some_and(|it| it.0 < self.armed.get()) {
+            self.ringer.borrow_mut().take().into_iter().for_each(Waker::wake);
+        }
+        done
+    }
+
+    /// Rings the node whenever something is due.
+    async fn ring(self: Rc<Hub>) {
+        loop {
+            self.with(|node, now, sockets| node.ring(now, sockets));
+            let next = self.node.borrow().next().map_or(f64::INFINITY, |it| it.0);
+            self.armed.set(next);
+            let mut timer = pin!(Timer::at(self.clock.instant(next)));
+            let mut first = true;
+            poll_fn(|cx| {
+                if timer.as_mut().poll(cx).is_ready() || (!first && self.ringer.borrow().is_none()) {
+                    return Poll::Ready(());
+                }
+                first = false;
+                *self.ringer.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            })
+            .await;
+        }
+    }
+
+    async fn accept(self: Rc<Hub>, listener: Listener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => self.welcome(stream, from),
+                Err(trouble) => {
+                    warn!(%trouble, "accept");
+                    Timer::after(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn welcome(self: &Rc<Hub>, stream: TcpStream, from: SocketAddr) {
+        _ = stream.set_nodelay(true);
+        let from = from.ip().to_string();
+        let no = self.with(|node, now, sockets| node.viewer_opened(now, &from, sockets));
+        lines::serve_viewer(self.clone(), no, stream);
+    }
+}
+
+fn read(path: &Path) -> Result<Start, String> {
+    let text = std::fs::read_to_string(path).map_err(|it| format!("{}: {it}", path.display()))?;
+    config::read(&text).map_err(|it| format!("{}: {it}", path.display()))
+}
+
+/// Runs a manager; comes back after SIGTERM or SIGINT.
+///
+/// # Errors
+/// What keeps it from starting.
+pub fn run(path: PathBuf) -> Result<(), Vec<String>> {
+    let start = read(&path).map_err(|it| vec![it])?;
+    let address: SocketAddr =
+        start.listen.parse().map_err(|it| vec![format!("{}: listen: {it}", path.display())])?;
+    let exec = executor();
+    let clock = Clock::start();
+    block_on(exec.run(async {
+        // Before the first test can be passed: a signal that comes early must not end the program.
+        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+            .map_err(|trouble| vec![format!("signals can't be taken: {trouble}")])?;
+        let (name, connect, channel) = (start.name.clone(), start.connect, start.channel.clone());
+        let mut sockets = Sockets::new(exec, connect);
+        let node = Node::new(Ms(clock.now()), start, &mut sockets);
+        let hub = Rc::new(Hub {
+            exec,
+            clock,
+            node: RefCell::new(node),
+            sockets: RefCell::new(sockets),
+            channel: RefCell::new(channel),
+            moved: RefCell::default(),
+            armed: Cell::new(f64::INFINITY),
+            ringer: RefCell::default(),
+        });
+        hub.sockets.borrow_mut().hub = Rc::downgrade(&hub);
+        let listener = listen(address).and_then(Listener::new);
+        let listener = listener.map_err(|it| vec![format!("{address}: {it}; is another one running?")])?;
+        exec.spawn(hub.clone().ring()).detach();
+        exec.spawn(hub.clone().accept(listener)).detach();
+        exec.spawn(channel::follow(hub.clone())).detach();
+        info!(name, %address, "running");
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => reload(&hub, &path),
+                Ok(_) => break,
+                Err(trouble) => warn!(%trouble, "signal"),
+            }
+        }
+        farewell(&hub).await;
+        Ok(())
+    }))
+}
+
+/// A file that can't be read changes nothing.
+fn reload(hub: &Hub, path: &Path) {
+    match read(path) {
+        Ok(start) => {
+            info!(channel = start.channel, "the command channel is another from now on");
+            *hub.channel.borrow_mut() = start.channel;
+            hub.moved.borrow_mut().take().into_iter().for_each(Waker::wake);
+        }
+        Err(trouble) => warn!(%trouble, "the new configuration changes nothing"),
+    }
+}
+
+/// Ears stay open for what still comes; then all that is open gets its answer, and what stands its release.
+async fn farewell(hub: &Rc<Hub>) {
+    let told = hub.now();
+    info!("told to end");
+    loop {
+        Timer::after(Duration::from_millis(20)).await;
+        let (since, open) = (hub.now() - told, hub.node.borrow().open());
+        if since >= FAREWELL || (since >= EARS && open == 0 && hub.node.borrow().standing() == 0) {
+            break;
+        }
+    }
+    hub.with(|node, now, sockets| node.end(now, sockets));
+    // What was said last still has to go out.
+    for _ in 0..20 {
+        Timer::after(Duration::from_millis(10)).await;
+        if hub.sockets.borrow().all_out() {
+            break;
+        }
+    }
+    debug!("ended");
+    info!("ended");
+}
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts instances of the module on the bench's wire: lines in, lines out.
 
-mod conf;
 mod wire;
 
 use std::io::{self, BufReader, BufWriter};
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,11 +1,12 @@
 //! The wire: positional text lines, batches from MARK to FLUSH, one reply for each.
 
-use crate::conf::read_terms;
 use ottersail::answers::Answers;
 use ottersail::brain::Brain;
 use ottersail::ids::{BellTag, Cell, Rung, ServerId, TenantIx, TuneInNo, ViewingId};
-use ottersail::state::{Availability, Entry, ListMode, Load, Outcome, Topic, Wish};
+use ottersail::state::{Availability, Entry, ListMode, Outcome, Topic, Wish};
 use ottersail::time::Ms;
+use ottersail_platform::load::load;
+use ottersail_platform::terms::read_terms;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -100,22 +101,6 @@
     })
 }
 
-fn load(pairs: &str) -> Read<Load> {
-    let mut load = Load::default();
-    for pair in pairs.split(',').filter(|pair| !pair.is_empty() && *pair != "-") {
-        let read = pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
-        match read {
-            None => return wanted(pair, "name:value"),
-            Some(("outstanding", value)) => load.streams = Some(value),
-            Some(("utilization", value)) => load.link = Some(value),
-            Some(("x0", value)) => load.link_uncapped = Some(value),
-            Some(("x1", value)) => load.uplink = Some(value),
-            Some(_) => {}
-        }
-    }
-    Ok(load)
-}
-
 fn entry(line: &str) -> Read<Entry> {
     let mut values = Values::of(line);
     match values.text("a list entry")? {
