--- a/daemon/src/node/lines.rs
+++ b/daemon/src/node/lines.rs
@@ -5,7 +5,7 @@
 use ottersail::time::Ms;
 use ottersail_net::{Exec, Stream, Timer};
 use ottersail_platform::node::{LineNo, Lost, Wires};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::io::ErrorKind;
@@ -20,9 +20,12 @@
 const PIECE: usize = 16 * 1024;
 /// Pieces read in a row before others have their turn.
 const IN_A_ROW: usize = 4;
-/// After the last word a viewer's connection is read for so long, so that the word is not lost to a reset; and so is a
-/// server's until it is closed.
+/// After the last word a connection is read for so long, so that the word is not lost to a reset: a viewer may still be
+/// sending what was refused at its head. A server's may go on for ever, and is read for a moment only.
 const LINGER: Duration = Duration::from_millis(2_500);
+const LINGER_AT_SERVER: Duration = Duration::from_millis(300);
+/// So many linger at once; others are closed at once, since each holds a descriptor.
+const MOST_LINGERING: usize = 24;
 
 #[derive(Default)]
 struct Unsent {
@@ -30,6 +33,8 @@
     /// Nothing more is said once this is out.
     last: bool,
     overrun: bool,
+    /// Something was written, which a reset could overtake.
+    spoken: bool,
     waker: Option<Waker>,
 }
 
@@ -41,11 +46,12 @@
     connect: Ms,
     pub hub: Weak<Hub>,
     outs: BTreeMap<LineNo, Out>,
+    lingering: Rc<Cell<usize>>,
 }
 
 impl Sockets {
     pub fn new(exec: Exec, connect: Ms) -> Sockets {
-        Sockets { exec, connect, hub: Weak::new(), outs: BTreeMap::new() }
+        Sockets { exec, connect, hub: Weak::new(), outs: BTreeMap::new(), lingering: Rc::default() }
     }
 
     pub fn all_out(&self) -> bool {
@@ -114,7 +120,8 @@
                 let said = |bytes: &[u8]| {
                     hub.with(|node, now, sockets| node.viewer_said(now, no, bytes, sockets));
                 };
-                converse(stream, &out, said).await;
+                let lingering = hub.sockets.borrow().lingering.clone();
+                converse(stream, &out, said, LINGER, &lingering).await;
             }
             hub.sockets.borrow_mut().outs.remove(&no);
             hub.with(|node, now, sockets| node.viewer_left(now, no, sockets));
@@ -130,7 +137,8 @@
             let said = |bytes: &[u8]| {
                 hub.with(|node, now, sockets| node.server_said(now, no, bytes, sockets));
             };
-            converse(stream, &out, said).await;
+            let lingering = hub.sockets.borrow().lingering.clone();
+            converse(stream, &out, said, LINGER_AT_SERVER, &lingering).await;
             Lost::Broken
         }
         Err(how) => how,
@@ -166,7 +174,13 @@
 }
 
 /// Reads and writes until the other side closes, something breaks, or the last word is out.
-async fn converse(mut stream: Stream, out: &Out, mut said: impl FnMut(&[u8])) {
+async fn converse(
+    mut stream: Stream,
+    out: &Out,
+    mut said: impl FnMut(&[u8]),
+    linger: Duration,
+    lingering: &Cell<usize>,
+) {
     let mut piece = vec![0u8; PIECE];
     poll_fn(|cx| {
         for _ in 0..IN_A_ROW {
@@ -194,7 +208,9 @@
     .await;
     // What is still to be said goes out, and what still comes is read and dropped: closing on unread bytes would be a
     // reset, which may overtake the last word.
-    if out.borrow().last && !out.borrow().overrun {
+    let worth = |it: &Unsent| it.last && !it.overrun && (it.spoken || !it.bytes.is_empty());
+    if worth(&out.borrow()) && lingering.get() < MOST_LINGERING {
+        lingering.set(lingering.get() + 1);
         let mut ended = false;
         let drain = poll_fn(|cx| {
             if !ended {
@@ -218,9 +234,10 @@
             Poll::Pending
         });
         futures_lite::future::or(drain, async {
-            Timer::after(LINGER).await;
+            Timer::after(linger).await;
         })
         .await;
+        lingering.set(lingering.get() - 1);
     }
 }
 
@@ -239,7 +256,10 @@
     let mut sent = 0;
     while sent < out.bytes.len() {
         match Pin::new(&mut *stream).poll_write(cx, &out.bytes[sent..]) {
-            Poll::Ready(Ok(count)) if count > 0 => sent += count,
+            Poll::Ready(Ok(count)) if count > 0 => {
+                sent += count;
+                out.spoken = true;
+            }
             Poll::Ready(_) => return Written::Broken,
             Poll::Pending => break,
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,6 +66,8 @@
 const REPORT_AGE: f64 = 0.5;
 /// What had started before this manager did is listed within so many windows of the rule on cold servers.
 const LIST_LAG: f64 = 2.0;
+/// Off the list for so many warm-ups, and at least so many fall windows, a server is forgotten.
+const FORGOTTEN: f64 = 3.0;
 
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -1,8 +1,8 @@
 //! What the module keeps in step as viewings come, change and go. No decision lies in here.
 
-use super::Brain;
+use super::{Brain, FORGOTTEN};
 use crate::ids::{Cell, PackageIx, Rack, Rung, ServerId, TenantIx, ViewingId};
-use crate::state::{added, Availability, Entry, Phase, Server, Uplink, Viewing};
+use crate::state::{added, Availability, Belief, Entry, Phase, Server, Uplink, Viewing};
 use crate::terms::Package;
 use crate::time::Ms;
 
@@ -120,7 +120,43 @@
         self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (asked, at));
     }
 
+    /// Servers that were replaced would add up for as long as the manager runs: one that has long been off the list
+    /// and holds nothing is dropped.
+    fn forget_gone(&mut self) {
+        let (now, cold) = (self.now, &self.terms.cold);
+        let long = cold.lasts.max(cold.fall_window).max(self.terms.seen_after) * FORGOTTEN;
+        for it in self.servers.values_mut() {
+            let gone = it.entry.availability == Availability::Gone;
+            it.off_since = if gone { it.off_since.or(Some(now)) } else { None };
+        }
+        let over = |it: &&Server| {
+            it.off_since.is_some_and(|at| now - at > long) && it.census.is_empty() && !it.probe_out
+        };
+        let over: Vec<Entry> = self.servers.values().filter(over).map(|it| it.entry.clone()).collect();
+        for entry in over {
+            let (cell, rack) = (self.cell(entry.cell.0), self.rack_of(entry.cell));
+            self.cells.entry(cell).or_default().remove(&entry.server);
+            self.uplinks.entry(rack).or_default().servers.remove(&entry.server);
+            self.links.forget(&entry.server);
+            self.servers.remove(&entry.server);
+        }
+    }
+
+    pub fn beliefs(&self, now: Ms) -> Vec<Belief> {
+        let belief = |it: &Server| Belief {
+            server: it.entry.server.clone(),
+            availability: it.entry.availability,
+            held: it.census.counts().iter().map(|it| it.1).sum(),
+            asked: it.seen.map(|it| (it.asked, now - it.at)),
+            failures: it.failures,
+            shunned: now < it.shunned_until,
+            cold: now < it.cold_until,
+        };
+        self.servers.values().map(belief).collect()
+    }
+
     pub(super) fn count_places(&mut self) {
+        self.forget_gone();
         let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
         let places = up.filter_map(|it| self.terms.places.get(&it.entry.kind));
         let (sum, count) = places.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -1042,3 +1042,20 @@
     it.taken = vec![it.now - Ms(taken)].into();
     assert_eq!(it.budget_left(), allowed);
 }
+
+/// Replacements would add up: one that has long been off the list and holds nothing is forgotten, none else.
+#[test_case(31_000.0, false, false; "long gone")]
+#[test_case(29_000.0, false, true; "just gone")]
+#[test_case(31_000.0, true, true; "something plays there")]
+fn a_server_is_forgotten(after: f64, plays: bool, kept: bool) {
+    let mut brain = brain(terms(), 2);
+    if plays {
+        playing(&mut brain, "a", "s0", 0);
+    }
+    let gone = Entry { availability: Availability::Gone, ..entry("s0", 0) };
+    let (now, mut said) = (brain.now, Said::default());
+    brain.members(now, ListMode::Incremental, &[gone], &mut said);
+    brain.members(now + Ms(after), ListMode::Incremental, &[entry("s1", 1)], &mut said);
+    assert_eq!(brain.servers.contains_key(&"s0".into()), kept);
+    assert!(brain.servers.contains_key(&"s1".into()));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,22 @@
     pub probe_out: bool,
     /// When it is probed next for the viewings that play there.
     pub next_probe: Ms,
+    /// Since when the list has it gone.
+    pub off_since: Option<Ms>,
+}
+
+/// What the module believes of a server, to be held against what passes on the sockets.
+#[derive(Clone, Debug)]
+pub struct Belief {
+    pub server: ServerId,
+    pub availability: Availability,
+    /// Viewings that it has there, set-ups included.
+    pub held: f64,
+    /// Asked of its link over what that gives, and how old that is.
+    pub asked: Option<(f64, Ms)>,
+    pub failures: u32,
+    pub shunned: bool,
+    pub cold: bool,
 }
 
 impl Default for Uplink {
@@ -228,6 +244,7 @@
             probed_at: Ms::LONG_AGO,
             probe_out: false,
             next_probe: Ms::LONG_AGO,
+            off_since: None,
         }
     }
 
