What stands is released before SIGKILL can come, by the longest patience of the settings

Checked: the module's beliefs beside what the node holds (equal at every look), connections to servers (none refused or late), both ruled out. At fault: FAREWELL in daemon/src/node.rs, 3 s whatever the settings say. Now the longest give-up time, 3 s at most, and 0.5 s.

--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -18,11 +18,13 @@
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
-/// After SIGTERM new set-ups are taken for so long at least, and what stands is kept for so long at most.
+/// After SIGTERM new set-ups are taken for so long at least. What stands is kept for the longest patience, counted as no
+/// more than so much, and this beyond it: SIGKILL may come 0.7 s past it.
 const EARS: Ms = Ms(800.0);
-const FAREWELL: Ms = Ms(3_000.0);
+const LONGEST: Ms = Ms(3_000.0);
+const BEYOND: Ms = Ms(500.0);
 /// After a failed accept nothing is accepted for so long.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -115,6 +117,7 @@
         let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
             .map_err(|trouble| vec![format!("signals can't be taken: {trouble}")])?;
         let (name, connect, channel) = (start.name.clone(), start.connect, start.channel.clone());
+        let longest = start.longest;
         let mut sockets = Sockets::new(exec, connect);
         let node = Node::new(Ms(clock.now()), start, &mut sockets);
         let hub = Rc::new(Hub {
@@ -141,7 +144,7 @@
                 Err(trouble) => warn!(%trouble, "signal"),
             }
         }
-        farewell(&hub).await;
+        farewell(&hub, longest).await;
         Ok(())
     }))
 }
@@ -159,24 +162,24 @@
 }
 
 /// Ears stay open for what still comes; then all that is open gets its answer, and what stands its release.
-async fn farewell(hub: &Rc<Hub>) {
+async fn farewell(hub: &Rc<Hub>, longest: Ms) {
     let told = hub.now();
+    let last = (longest.min(LONGEST) + BEYOND).max(EARS);
     info!("told to end");
     loop {
         Timer::after(Duration::from_millis(20)).await;
         let (since, open) = (hub.now() - told, hub.node.borrow().open());
-        if since >= FAREWELL || (since >= EARS && open == 0 && hub.node.borrow().standing() == 0) {
+        if since >= last || (since >= EARS && open == 0 && hub.node.borrow().standing() == 0) {
             break;
         }
     }
     hub.with(|node, now, sockets| node.end(now, sockets));
     // What was said last still has to go out.
-    for _ in 0..20 {
+    for _ in 0..10 {
         Timer::after(Duration::from_millis(10)).await;
         if hub.sockets.borrow().all_out() {
             break;
         }
     }
-    debug!("ended");
     info!("ended");
 }
