Connections to servers are closed from this side only, and read until the server closes

Checked: hand-overs, the first test, ends of servers; ruled out. At fault: Desk::close and converse in daemon/src/node/lines.rs, which read and dropped what still came; a server sends a release again only on the next connection opened.

--- a/daemon/src/node/lines.rs
+++ b/daemon/src/node/lines.rs
@@ -1,7 +1,7 @@
 //! The connections of a manager: each has one task, which reads and writes, and a bounded buffer of what is to be said.
 
 use super::Hub;
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use ottersail::time::Ms;
 use ottersail_net::{Exec, Stream, Timer};
 use ottersail_platform::node::{LineNo, Lost, Wires};
@@ -24,6 +24,7 @@
 /// sending what was refused at its head. A server's may go on for ever, and is read for a moment only.
 const LINGER: Duration = Duration::from_millis(2_500);
 const LINGER_AT_SERVER: Duration = Duration::from_millis(300);
+const PARTING: Duration = Duration::from_millis(1_000);
 /// So many linger at once; others are closed at once, since each holds a descriptor.
 const MOST_LINGERING: usize = 24;
 
@@ -33,6 +34,8 @@
     /// Nothing more is said once this is out.
     last: bool,
     overrun: bool,
+    /// After the last word what comes still counts.
+    parting: bool,
     /// Something was written, which a reset could overtake.
     spoken: bool,
     waker: Option<Waker>,
@@ -109,6 +112,13 @@
     fn hang_up(&mut self, line: LineNo) {
         self.last(line);
     }
+
+    fn part(&mut self, line: LineNo) {
+        if let Some(out) = self.outs.get(&line) {
+            out.borrow_mut().parting = true;
+        }
+        self.last(line);
+    }
 }
 
 pub(crate) fn serve_viewer(hub: Rc<Hub>, no: LineNo, stream: TcpStream) {
@@ -206,6 +216,22 @@
         Poll::Pending
     })
     .await;
+    if out.borrow().parting && !out.borrow().overrun {
+        _ = Pin::new(&mut stream).close().await;
+        let rest = async {
+            while let Ok(count) = stream.read(&mut piece).await {
+                if count == 0 {
+                    break;
+                }
+                said(&piece[..count]);
+            }
+        };
+        futures_lite::future::or(rest, async {
+            Timer::after(PARTING).await;
+        })
+        .await;
+        return;
+    }
     // What is still to be said goes out, and what still comes is read and dropped: closing on unread bytes would be a
     // reset, which may overtake the last word.
     let worth = |it: &Unsent| it.last && !it.overrun && (it.spoken || !it.bytes.is_empty());
--- a/daemon/tests/node.rs
+++ b/daemon/tests/node.rs
@@ -17,6 +17,8 @@
     address: SocketAddr,
     heard: Arc<Mutex<Vec<Value>>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
+    /// Written when the other side closes a connection.
+    last: Arc<Mutex<String>>,
 }
 
 fn started(line: &Value) -> String {
@@ -31,13 +33,17 @@
     fn new(act: impl Act) -> Peer {
         let act: Arc<dyn Act> = Arc::new(act);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let peer =
-            Peer { address: listener.local_addr().unwrap(), heard: Arc::default(), open: Arc::default() };
-        let (heard, open) = (peer.heard.clone(), peer.open.clone());
+        let peer = Peer {
+            address: listener.local_addr().unwrap(),
+            heard: Arc::default(),
+            open: Arc::default(),
+            last: Arc::default(),
+        };
+        let (heard, open, last) = (peer.heard.clone(), peer.open.clone(), peer.last.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 open.lock().unwrap().push(stream.try_clone().unwrap());
-                let (act, heard) = (act.clone(), heard.clone());
+                let (act, heard, last) = (act.clone(), heard.clone(), last.clone());
                 std::thread::spawn(move || {
                     for line in BufReader::new(stream.try_clone().unwrap()).lines() {
                         let Some(line) = line.ok().and_then(|it| serde_json::from_str::<Value>(&it).ok())
@@ -52,6 +58,7 @@
                             break;
                         }
                     }
+                    _ = (&stream).write_all(last.lock().unwrap().as_bytes());
                     _ = stream.shutdown(std::net::Shutdown::Both);
                 });
             }
@@ -321,6 +328,19 @@
     assert!(within(2, || peer.heard("FINISH", TWO)));
 }
 
+#[test]
+fn a_release_that_crosses_the_closing_of_its_connection_is_passed_on() {
+    let (peer, channel) = (Peer::new(well), Channel::new());
+    let node = Node::start("crosses", &[host("s-a", peer.address, "ready")], &channel, 256);
+    let mut viewer = Viewer::new(node.address);
+    assert!(viewer.asks(ONE).starts_with("RTSP/1.0 200"));
+    // The server is silent: it is tried with a new connection, and the older one is closed after a while.
+    *peer.last.lock().unwrap() =
+        format!("{}\n", json!({ "verb": "FINISH", "tag": ONE, "opts": {}, "rc": 16 }));
+    let release = viewer.hears().unwrap_or_default();
+    assert!(release.starts_with("TEARDOWN") && release.contains("cause=16"), "{release}");
+}
+
 #[test]
 fn a_bad_viewer_reads_its_refusal_though_it_still_sends() {
     let (peer, channel) = (Peer::new(well), Channel::new());
