What is lost with a server or handed over tells nothing of others' growth

A manager whose servers fall silent loses a third of its viewings and took others' part of the servers that remained for a third smaller, just as all those viewers came there. Lines: amend in answer(), which counted a viewing cut with its server like one that ended. Change: such changes, and viewings handed over, count as if they had always been so.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! src/terms.rs. docs/design.md says where each rule comes from, docs/on-call.md what is seen in trouble.
 
 use crate::answers::Answers;
-use crate::census::{moved, Asker, Counted, RecentMean};
+use crate::census::{moved, Asker, Counted, Past, RecentMean};
 use crate::chance::Chance;
 use crate::ids::{
     name_sum, BellTag, Cell, PackageIx, Rack, Rung, ServerId, TenantIx, TitleId, TuneInNo, ViewingId,
@@ -69,8 +69,6 @@
 /// What this manager holds tells how others' part grows: with so many more that stay, up to so many times.
 const ALIKE: f64 = 4.0;
 const GROWN: f64 = 2.0;
-/// Off the list for so many warm-ups, and at least so many fall windows, a server is forgotten.
-const FORGOTTEN: f64 = 3.0;
 
 type Rule = fn(&mut Brain, &mut dyn Answers) -> bool;
 
@@ -89,7 +87,7 @@
     held_at: BTreeSet<(Ms, ServerId)>,
     uplinks: BTreeMap<Rack, Uplink>,
     own: Own,
-    own_ledger: VecDeque<(Ms, Own)>,
+    past: Past,
     /// Since when what this manager holds tells of what others do.
     whole_since: Ms,
     /// What all that is held would ask at its floors.
@@ -129,7 +127,7 @@
             held_at: BTreeSet::new(),
             uplinks: BTreeMap::new(),
             own: (0.0, 0.0),
-            own_ledger: VecDeque::new(),
+            past: Past::default(),
             whole_since: now + terms.reports_every,
             least_kb: 0.0,
             spared_all: 0.0,
@@ -170,11 +168,11 @@
     pub fn preexisting(&mut self, now: Ms, wish: Wish, server: ServerId, out: &mut dyn Answers) {
         self.now = now;
         // A manager that takes viewings over did not restart: what it was told of starts is whole.
-        self.unsure_until = now;
-        self.whole_since = now;
+        (self.unsure_until, self.whole_since, self.past.apart) = (now, now, true);
         let tune_in = TuneIn { server, sent: now, outcome: None };
         let vw = wish.vw.clone();
         self.take(wish, Phase::Playing, vec![tune_in]);
+        self.past.apart = false;
         self.amend(&vw, |it| it.started = now);
         self.settle(out);
     }
@@ -224,6 +222,7 @@
     ) {
         self.now = now;
         self.judge(server, outcome);
+        self.past.apart = last && outcome == Outcome::ConnectionLost;
         self.amend(vw, |it| {
             if let Some(tune_in) = it.tune_ins.get_mut(no.0) {
                 tune_in.outcome = Some(outcome);
@@ -231,6 +230,7 @@
             it.look_at = now;
             it.phase = if last || it.phase == Phase::Over { Phase::Over } else { Phase::Waiting };
         });
+        self.past.apart = false;
         self.note_load(server, load, now - self.terms.seen_after);
         self.settle(out);
     }
@@ -486,8 +486,7 @@
             return false;
         }
         let at = self.now + self.beat();
-        out.schedule(BellTag(0), at);
-        self.bell_at = Some(at);
+        out.schedule(BellTag(0), *self.bell_at.insert(at));
         true
     }
 
@@ -885,7 +884,7 @@
     /// and what comes to all of them shows in what this one holds.
     fn carried(&self, told: f64, seen: Seen) -> Seen {
         let few = ALIKE * (self.own.0 + self.middle_kb()) / (self.own.1 + 1.0);
-        let before = if seen.at >= self.whole_since { self.own_at(seen.at).0 } else { self.own.0 };
+        let before = if seen.at >= self.whole_since { self.past.at(seen.at, self.own).0 } else { self.own.0 };
         let grown = ((self.own.0 + few) / (before + few).max(1e-6)).min(GROWN);
         let others = others_kb(told, seen) / capacity_of(told, seen).max(1e-6);
         Seen { asked: seen.asked + others * (grown - 1.0), ..seen }
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -1,12 +1,15 @@
 //! What the module keeps in step as viewings come, change and go. No decision lies in here.
 
-use super::{Brain, FORGOTTEN};
+use super::Brain;
 use crate::census::Asker;
 use crate::ids::{Cell, PackageIx, Rack, Rung, ServerId, TenantIx, ViewingId};
-use crate::state::{added, Availability, Belief, Entry, Own, Phase, Server, TuneIn, Uplink, Viewing, Wish};
+use crate::state::{added, Availability, Belief, Entry, Phase, Server, TuneIn, Uplink, Viewing, Wish};
 use crate::terms::Package;
 use crate::time::Ms;
 
+/// Off the list for so many warm-ups, and at least so many fall windows, a server is forgotten.
+const FORGOTTEN: f64 = 3.0;
+
 impl Brain {
     pub fn package_named(&self, name: &str) -> Option<PackageIx> {
         self.terms.packages.iter().position(|package| package.name == name).map(PackageIx)
@@ -92,20 +95,12 @@
         let uplink = self.uplinks.entry(rack).or_default();
         uplink.own = added(uplink.own, (rate, size));
         self.own = added(self.own, (rate, size));
-        let old = self.fresh_from();
-        self.own_ledger.drain(..self.own_ledger.partition_point(|it| it.0 < old));
-        self.own_ledger.push_back((now, (rate, size)));
+        self.past.change(now, self.fresh_from(), (rate, size));
         let least = self.rate(viewing.wish.package, self.package(viewing).floor);
         self.spared_all = (self.spared_all + self.spared(&asker) * rate).max(0.0);
         self.least_kb = (self.least_kb + least * sign).max(0.0);
     }
 
-    /// What all that is held asked at that time.
-    pub(super) fn own_at(&self, at: Ms) -> Own {
-        let since = self.own_ledger.iter().rev().take_while(|it| it.0 > at);
-        since.fold(self.own, |(kb, n), it| (kb - it.1 .0, n - it.1 .1))
-    }
-
     /// A server is weighed at that time, while anything is held there.
     pub(super) fn look(&mut self, id: &ServerId, at: Ms) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -514,6 +514,7 @@
 #[test_case(8, 8, 0.0, 0.7; "nothing came since")]
 #[test_case(8, 20, 0.0, 1.2; "what came to this manager came to all")]
 #[test_case(20, 8, 0.0, 0.45; "what went too")]
+#[test_case(20, 8, -1.0, 0.7; "not what was lost with its server")]
 #[test_case(0, 40, 0.0, 1.2; "up to a bound")]
 #[test_case(8, 20, 99_900.0, 0.7; "not by what was handed over")]
 #[test_case(0, 0, 0.0, 0.7; "nothing is held")]
@@ -525,9 +526,11 @@
         playing(&mut it, &format!("{vw}"), "s1", 2);
     }
     it.now = Ms(99_950.0);
+    it.look(&"s1".into(), Ms(1e9));
     for vw in after..before {
         let (vw, server) = (format!("{vw}").as_str().into(), "s1".into());
-        let (outcome, load, mut said) = (Outcome::Served, Load::default(), Said::default());
+        let outcome = if handed_over < 0.0 { Outcome::ConnectionLost } else { Outcome::Served };
+        let (load, mut said) = (Load::default(), Said::default());
         it.answer(it.now, &vw, TuneInNo(0), &server, outcome, true, load, &mut said);
     }
     for vw in before..after {
--- a/src/census.rs
+++ b/src/census.rs
@@ -2,8 +2,9 @@
 //! in here.
 
 use crate::ids::{PackageIx, Rung, ViewingId};
+use crate::state::Own;
 use crate::time::Ms;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A viewing's part in the split of a server; those alike in all of it are alike to every decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -82,6 +83,31 @@
     }
 }
 
+/// What all that a manager holds asked before now.
+#[derive(Clone, Debug, Default)]
+pub struct Past {
+    /// Changes, newest last.
+    changes: VecDeque<(Ms, Own)>,
+    /// What changes now is this manager's alone: it counts as if it had always been so.
+    pub apart: bool,
+}
+
+impl Past {
+    /// Changes before `old` are forgotten.
+    pub fn change(&mut self, now: Ms, old: Ms, by: Own) {
+        self.changes.drain(..self.changes.partition_point(|it| it.0 < old));
+        if !self.apart {
+            self.changes.push_back((now, by));
+        }
+    }
+
+    /// What was asked then, from what is asked now.
+    pub fn at(&self, at: Ms, now: Own) -> Own {
+        let since = self.changes.iter().rev().take_while(|it| it.0 > at);
+        since.fold(now, |(kb, n), it| (kb - it.1 .0, n - it.1 .1))
+    }
+}
+
 /// The mean of what was last noted of each key, as far as it is recent; each key has a weight, at first 0.
 #[derive(Clone, Debug)]
 pub struct RecentMean<K> {
