Playing viewings step down where a link is asked for more than it gives, not 1.15 of it

The wide bound was there against steps taken back, which no longer happen. Change: DOWN_FILL from 1.15 to 1.04, what an uplink had already.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 /// Parts of a link or uplink that may be asked: by new viewings, before playing ones step down, after that,
 /// and after a step up. Their distance keeps playing viewings from paying for each swing of the true rates.
 const FILL: f64 = 0.92;
-const DOWN_FILL: f64 = 1.15;
+const DOWN_FILL: f64 = 1.04;
 const EASED: f64 = 1.0;
 const UP_FILL: f64 = 0.85;
 /// A newcomer is taken while what all could go down to, with it, asks no more than this part.
