--- a/judge/src/record.rs
+++ b/judge/src/record.rs
@@ -158,6 +158,14 @@
     ManagerKilled {
         manager: usize,
     },
+    /// A manager is to end: what it has taken it still owes; who comes from now on may find nobody.
+    ManagerTold {
+        manager: usize,
+    },
+    /// It has ended, as it was told.
+    ManagerEnded {
+        manager: usize,
+    },
     ManagerStopped {
         manager: usize,
     },
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -131,6 +131,8 @@
     ManagerKill "manager-kill",
     /// One after the other from start to end, each killed and down for `size` seconds.
     ManagerRoll "manager-roll",
+    /// All are told to end (SIGTERM) and started again, `part` of them at a time, in steps from start to end.
+    ManagerRestart "manager-restart",
     /// The last core of a manager stands still for `size` seconds.
     CoreStall "core-stall",
     /// Stopped, and at the end everything comes at once.
