--- a/src/brain.rs
+++ b/src/brain.rs
@@ -642,9 +642,8 @@
         })
     }
 
-    /// Rule 4: this manager's part of what a cold server takes in any window. Where the part is under one,
-    /// managers take turns by the clock, another at each cell, in turns so long that no window touches too
-    /// many.
+    /// Rule 4: this manager's part of what a cold server takes in any window. Where that is under one, as
+    /// many managers as half a window bears have a turn together, a window long: any window touches two.
     fn pace_allows(&self, server: &Server) -> bool {
         let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
         let sure = server.failures == 0 && self.now >= self.unsure_until;
@@ -661,11 +660,13 @@
         if mine >= 1.0 {
             return since(self.now - cold.fall_window) < mine;
         }
-        let length = if all >= 2.0 { cold.fall_window * (1.0 / (all - 1.0)) } else { cold.fall_window * 2.0 };
+        let length = cold.fall_window * if all >= 2.0 { 1.0 } else { 2.0 };
         let turn = (self.now / length).floor();
         let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
+        let together = (all / 2.0).floor().max(1.0);
         let shift = name_sum(&server.entry.server.to_string());
-        let my_turn = (turn + shift as f64).rem_euclid(managers) == self.terms.me.0 as f64;
+        let whose = (turn + shift as f64).rem_euclid((managers / together).ceil());
+        let my_turn = whose == (self.terms.me.0 as f64 / together).floor();
         my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -354,7 +354,8 @@
     assert_eq!(it.pace_allows(&it.servers[&"s0".into()]), allowed);
 }
 
-#[test_case(48.0, 6; "a turn each sixth of a window")]
+#[test_case(48.0, 6; "three together for a window")]
+#[test_case(16.0, 2; "one for a window")]
 #[test_case(8.0, 1; "one set-up in any window")]
 fn rule_4_many_managers_take_turns(places: f64, most: usize) {
     let mut sent: Vec<f64> = Vec::new();
@@ -377,6 +378,29 @@
         .all(|end| sent.iter().filter(|at| end - 1000.0 < **at && *at <= end).count() <= most));
 }
 
+// With a turn of a fifteenth of a window for each of 300 managers, a tenth of what a cold server takes was sent.
+#[test]
+fn rule_4_turns_are_long_enough_to_be_used() {
+    let sent = |me| {
+        let mut it = brain(Terms { managers: 9.0, me: ManagerIx(me), ..terms() }, 1);
+        server(&mut it, "s0").cold_until = Ms(1e9);
+        // A viewing for that server comes each 700 ms.
+        let mut times = 0;
+        for round in 0..60 {
+            it.now = Ms(100_000.0 + 700.0 * round as f64);
+            if it.pace_allows(&it.servers[&"s0".into()]) {
+                let now = it.now;
+                server(&mut it, "s0").sent.push(now);
+                times += 1;
+            }
+        }
+        times
+    };
+    // Nine managers, three in a turn, 42 turns of a window.
+    let all: Vec<i32> = (0..9).map(sent).collect();
+    assert!(all.iter().all(|it| (13..=15).contains(it)), "{all:?}");
+}
+
 #[test]
 fn a_server_that_answers_again_may_just_have_restarted() {
     let mut it = brain(terms(), 1);
