Rehearsals bear three hundred managers, and the judge tells how evenly set-ups went

Need: even load is to be shown by hundreds of processes; the rehearsal bore 64 managers on one address and judged no evenness.

--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -9,10 +9,10 @@
 use ottersail_net::Clock;
 use ottersail_standins::{run_fleet, run_players, Crowd, Fault, FaultKind, Recorder};
 use ottersail_tickets::Keys;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{getrlimit, kill_process, setrlimit, Pid, Resource, Rlimit, Signal};
 use std::fs::{self, File};
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,7 +20,12 @@
 use std::time::{Duration, Instant};
 
 /// Managers that a rehearsal starts as processes.
-const MOST_MANAGERS: usize = 64;
+const MOST_MANAGERS: usize = 400;
+/// Descriptors of this process that a manager may take (its own connections to servers and list end here, and players'
+/// to it begin here), that a server takes, and that all else does.
+const FILES_A_MANAGER: u64 = 48;
+const FILES_A_SERVER: u64 = 2;
+const FILES_BESIDE: u64 = 512;
 
 /// What is asked of a rehearsal.
 pub struct Rehearsal {
@@ -77,6 +82,7 @@
         );
         return Err(vec![line]);
     }
+    bears(&plan).map_err(|it| vec![format!("{}: {it}", asked.day.display())])?;
     let folder = std::env::temp_dir().join(format!("ottersail-rehearsal-{}", std::process::id()));
     fs::create_dir_all(&folder).map_err(|it| vec![format!("{}: {it}", folder.display())])?;
     let played = play(&plan, asked, &folder).map_err(|it| vec![it]);
@@ -89,6 +95,24 @@
     played
 }
 
+/// What is missing on this machine for that day, in one line.
+fn bears(plan: &Plan) -> Result<(), String> {
+    let (managers, servers) = (plan.day.managers as u64, plan.day.servers as u64);
+    let files = managers * FILES_A_MANAGER + servers * FILES_A_SERVER + FILES_BESIDE;
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    if current.is_none_or(|it| it >= files) {
+        return Ok(());
+    }
+    if maximum.is_some_and(|it| it < files) {
+        let most = maximum.unwrap_or(0);
+        return Err(format!(
+            "needs {files} open files, and this machine allows {most}: raise the limit (ulimit -Hn)"
+        ));
+    }
+    setrlimit(Resource::Nofile, Rlimit { current: Some(files), maximum })
+        .map_err(|it| format!("needs {files} open files: {it}"))
+}
+
 fn play(plan: &Plan, asked: &Rehearsal, folder: &Path) -> Result<Verdict, String> {
     let tell = |it: std::io::Error| it.to_string();
     let clock = Clock::start();
@@ -114,7 +138,7 @@
         (0..plan.day.managers).map(|it| plan.day.zones[it % plan.day.zones.len()].clone()).collect();
     let mut managers = Vec::new();
     for (number, zone) in zones.iter().enumerate() {
-        let address = free_address().map_err(tell)?;
+        let address = own_address(number).map_err(tell)?;
         let mut terms = plan.terms.clone();
         terms.me = ManagerIx(number as u64);
         terms.zone = zone.as_str().into();
@@ -372,9 +396,12 @@
     Some(format!("manager {} did not end within {patience:?} of SIGTERM", it.number))
 }
 
-/// An address that nobody holds just now.
-fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// Each manager has an address of its own in 127.0.0.0/8, and a port there that nobody holds just now; rehearsals at the
+/// same time mostly lie in other networks.
+fn own_address(number: usize) -> std::io::Result<SocketAddr> {
+    let [network, high, low] = [std::process::id() % 200 + 16, number as u32 / 250, number as u32 % 250 + 1];
+    let address = Ipv4Addr::new(127, network as u8, high as u8, low as u8);
+    TcpListener::bind((address, 0))?.local_addr()
 }
 
 fn is_ready(address: SocketAddr) -> bool {
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -96,6 +96,7 @@
         packages,
         tenants: terms.tenants.iter().map(|it| it.name.clone()).collect(),
         per_second: players.number("per-second", 0.1..=10_000.0),
+        lean: players.number_or("lean", 0.0..=5.0, 0.0),
         impatient: part(&players, "impatient", 0.0),
         leave_early: part(&players, "leave-early", 0.0),
         come_again: part(&players, "come-again", 0.8),
--- a/judge/src/lib.rs
+++ b/judge/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod record;
 mod rules;
+mod spread;
 
 pub use record::{Event, Line, Terms};
 pub use rules::{judge, Finding, Verdict};
+pub use spread::{spread, Spread, Swing};
--- a/judge/src/rules.rs
+++ b/judge/src/rules.rs
@@ -1,4 +1,5 @@
 use crate::record::{Event, Line, Shapes, Standing, Terms};
+use crate::spread::{spread, Spread};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
@@ -27,6 +28,8 @@
     pub flaws: Vec<String>,
     /// Worth earned over worth offered, by those who played.
     pub value: Option<f64>,
+    /// How evenly set-ups went over the servers.
+    pub spread: Option<Spread>,
 }
 
 impl Verdict {
@@ -43,6 +46,9 @@
         if let Some(value) = self.value {
             _ = writeln!(text, "{:<22} {:>8.3}", "value played", value);
         }
+        if let Some(spread) = &self.spread {
+            text += &spread.table();
+        }
         _ = writeln!(text, "\nrule                          judged on                          broken");
         for it in &self.findings {
             let what = format!("{} {}", it.judged, it.of);
@@ -133,7 +139,8 @@
         _ => None,
     };
     let flaws = lines.iter().filter_map(flaw).collect();
-    Verdict { findings, counts, flaws, value: (value.1 > 0.0).then(|| value.0 / value.1) }
+    let value = (value.1 > 0.0).then(|| value.0 / value.1);
+    Verdict { findings, counts, flaws, value, spread: spread(lines) }
 }
 
 /// What blocked shares may differ by, whatever their factor: of a small share little is said.
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -39,6 +39,8 @@
     pub tenants: Vec<String>,
     /// New viewers a second.
     pub per_second: f64,
+    /// How uneven viewers are spread over managers: 0 is evenly; at 1 the first tenth of them gets a third of all.
+    pub lean: f64,
     /// Part of the viewers who leave before the answer, and of those who leave midway.
     pub impatient: f64,
     pub leave_early: f64,
--- a/standins/src/players.rs
+++ b/standins/src/players.rs
@@ -160,7 +160,7 @@
         let near: Vec<usize> = (0..crowd.managers.len()).filter(|it| crowd.zones[*it] == zone).collect();
         let all: Vec<usize> = (0..crowd.managers.len()).collect();
         let from = if near.is_empty() { &all } else { &near };
-        from[(self.part() * from.len() as f64) as usize % from.len()]
+        from[(self.part().powf(1.0 + crowd.day.lean) * from.len() as f64) as usize % from.len()]
     }
 
     fn request(address: &str, path: &str, ask: u64) -> Request<Body> {
