A test for links a little short: with the wide bound it fails

Need: the narrower bound for playing viewings had no test that fails without it. Change: a case of a_part_of_a_step_is_drawn.

--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -179,6 +179,7 @@
 #[test_case(0.84, 0.001, &[]; "a whole step does not fit the link")]
 #[test_case(1.3, 0.2, &["a to 0"]; "down, drawn")]
 #[test_case(1.3, 0.9, &[]; "down, not drawn")]
+#[test_case(1.1, 0.05, &["a to 0"]; "a link a little short does not stay so")]
 fn a_part_of_a_step_is_drawn(asked: f64, lot: f64, expected: &[&str]) {
     let mut it = brain(Terms { managers: 260.0, ..terms() }, 1);
     let rung = if asked > 1.0 { 1 } else { 0 };
