--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -367,7 +367,7 @@
         it.terms.places.insert("k".into(), places);
         server(&mut it, "s0").cold_until = Ms(1e9);
         // A window is a hundred ticks: at worst all send about an edge between two turns.
-        let edge = |tick: &usize| if tick / 100 % 2 == 0 { tick % 100 >= 95 } else { tick % 100 < 5 };
+        let edge = |tick: &usize| (95..105).contains(&(tick % 200));
         for tick in (0..2000).filter(|it| !on_edges || edge(it)) {
             it.now = Ms(100_000.0 + tick as f64 * 10.0);
             if it.pace_allows(&it.servers[&"s0".into()]) {
