--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -147,7 +147,7 @@
         }
         let post = Post {
             listen: &address.to_string(),
-            list: &fleet.list.to_string(),
+            list: &fleet.lists[number].to_string(),
             keys: "keys",
             grace: plan.grace,
             list_wait: Ms(2_000.0),
@@ -169,6 +169,7 @@
             managers: managers.iter().map(|it| it.address).collect(),
             zones,
             sockets: [vec![fleet.list], fleet.servers.clone()].concat(),
+            behind: fleet.behind.clone(),
             began,
         };
         let over = Arc::new(AtomicBool::new(false));
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -5,7 +5,7 @@
 use ottersail::terms::{Repeat, Terms};
 use ottersail::time::Ms;
 use ottersail_judge::record::{PackageTerms, Shapes, Terms as Judged};
-use ottersail_standins::{Day, DayPackage, Fault, FAULT_KINDS};
+use ottersail_standins::{Day, DayPackage, Fault, Ways, FAR_ENDS, FAULT_KINDS, WAYS};
 use std::path::Path;
 
 /// A day, and the terms of its managers but for number and zone.
@@ -126,6 +126,9 @@
         end,
         part: it.number_or("part", 0.0..=1.0, 0.2),
         size: it.number_or("size", 0.0..=1e6, 1.0),
+        managers: it.number_or("managers", 0.0..=1.0, 1.0),
+        ways: it.word_or("way", WAYS, Ways::Both),
+        to_list: it.word_or("to", FAR_ENDS, false),
     }
 }
 
--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -235,6 +235,15 @@
         found.unwrap_or(&words[0]).1
     }
 
+    /// One of a few words, or that one if the key is absent.
+    pub fn word_or<T: Copy>(&self, key: &str, words: &[(&str, T)], absent: T) -> T {
+        if self.get(key).is_some() {
+            self.word(key, words)
+        } else {
+            absent
+        }
+    }
+
     /// Numbers set apart by commas, at least one.
     pub fn numbers(&self, key: &str, range: RangeInclusive<f64>) -> Vec<f64> {
         let value = self.want(key, "numbers set apart by commas").unwrap_or("");
--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -99,7 +99,7 @@
             exec,
             index,
             core: shared.cores[index].clone(),
-            client: Client::new(exec, connect, KEEP, KEEP_FOR),
+            client: Client::new(exec, connect, KEEP, KEEP_FOR).resetting(),
             shared,
             asks: Cell::new(0),
             set_ups: RefCell::default(),
@@ -258,7 +258,7 @@
                 self.set_ups.borrow_mut().insert(name, task);
             }
             Errand::CallOff { vw, no, address } => {
-                // Dropping the task closes its connection.
+                // Dropping the task resets its connection, so that a set-up that is still on its way stays there.
                 drop(self.set_ups.borrow_mut().remove(&vw));
                 self.parting(address, format!("/viewings/{vw}/{no}"), None);
             }
--- a/judge/src/rules/tests.rs
+++ b/judge/src/rules/tests.rs
@@ -126,6 +126,21 @@
     broken([vec![(0.0, asked(1, "clips"))], then, vec![end()]].concat())
 }
 
+#[test_case(80.0 => Vec::<u8>::new(); "what was called off on its way gets there a moment after the next")]
+#[test_case(320.0 => vec![2]; "it gets there long after")]
+fn rule_2_knows_what_is_on_its_way(late: f64) -> Vec<u8> {
+    let lines = vec![
+        (0.0, asked(1, "clips")),
+        (300.0, set_up("b", "v1", 1, "clips", 2)),
+        (310.0, set_up_answered("b", "v1", 1, 201)),
+        (320.0, answered(1, 200)),
+        (300.0 + late, set_up("a", "v1", 0, "clips", 2)),
+        (310.0 + late, closed("a", "v1", 0)),
+        end(),
+    ];
+    broken(lines)
+}
+
 #[test_case("clips", vec![(400.0, closed("a", "v1", 0)), (410.0, set_up("b", "v1", 1, "clips", 2))] => Vec::<u8>::new(); "safe, after the first was closed")]
 #[test_case("clips", vec![(400.0, set_up("b", "v1", 1, "clips", 2)), (800.0, closed("a", "v1", 0))] => vec![2]; "two out at once")]
 #[test_case("rides", vec![(400.0, closed("a", "v1", 0)), (410.0, set_up("b", "v1", 1, "rides", 2))] => vec![2]; "unsafe, the first may have run")]
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -9,7 +9,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// How an exchange failed, and what that proves.
@@ -36,9 +37,32 @@
     sender: SendRequest<Body>,
     /// Dropping it closes the connection.
     _connection: Task<()>,
+    socket: Arc<TcpStream>,
     since: Instant,
 }
 
+/// A connection whose exchange is under way.
+struct Out {
+    kept: Option<Kept>,
+    resets: bool,
+}
+
+impl Out {
+    fn done(mut self) -> Option<Kept> {
+        self.kept.take()
+    }
+}
+
+impl Drop for Out {
+    /// Guards against what was called off and gets there later all the same: closed in the usual way, the system goes on
+    /// sending what the peer has not got, for minutes over a wire that loses it or is cut.
+    fn drop(&mut self) {
+        if let Some(kept) = self.kept.as_ref().filter(|_| self.resets) {
+            _ = socket2::SockRef::from(&*kept.socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// Connections are kept for the next exchange with the same address; dropping an exchange closes its own.
 pub struct Client {
     exec: Exec,
@@ -46,12 +70,21 @@
     /// Idle connections kept to one address, and for how long.
     keep: usize,
     keep_for: Duration,
+    resets: bool,
     idle: RefCell<HashMap<String, Vec<Kept>>>,
 }
 
 impl Client {
     pub fn new(exec: Exec, connect: Duration, keep: usize, keep_for: Duration) -> Client {
-        Client { exec, connect, keep, keep_for, idle: RefCell::new(HashMap::new()) }
+        Client { exec, connect, keep, keep_for, resets: false, idle: RefCell::new(HashMap::new()) }
+    }
+
+    /// An exchange that is dropped resets its connection: what has not reached the peer by then never will, but for what
+    /// is on its way.
+    #[must_use]
+    pub fn resetting(mut self) -> Client {
+        self.resets = true;
+        self
     }
 
     /// Sends a request and reads the whole answer, up to `most` bytes. `may_send` is asked when all is ready, just
@@ -66,7 +99,7 @@
         most: usize,
         may_send: impl Fn() -> bool,
     ) -> Result<Answer, Failure> {
-        let (response, kept) = self.start(address, request, may_send).await?;
+        let (response, out) = self.start(address, request, may_send).await?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, most).collect().await.map_err(|trouble| {
             let limit = trouble.downcast_ref::<http_body_util::LengthLimitError>().is_some();
@@ -76,7 +109,9 @@
                 Failure::Lost
             }
         })?;
-        self.give_back(address, kept);
+        if let Some(kept) = out.done() {
+            self.give_back(address, kept);
+        }
         Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
     }
 
@@ -85,11 +120,13 @@
     /// # Errors
     /// As [`Client::exchange`].
     pub async fn events(&self, address: &str, request: Request<Body>) -> Result<Events, Failure> {
-        let (response, kept) = self.start(address, request, || true).await?;
-        if response.status() != StatusCode::OK {
-            return Err(Failure::Lost);
+        let (response, out) = self.start(address, request, || true).await?;
+        match out.done() {
+            Some(kept) if response.status() == StatusCode::OK => {
+                Ok(Events { body: response.into_body(), _kept: kept })
+            }
+            _ => Err(Failure::Lost),
         }
-        Ok(Events { body: response.into_body(), _kept: kept })
     }
 
     async fn start(
@@ -97,7 +134,7 @@
         address: &str,
         request: Request<Body>,
         may_send: impl Fn() -> bool,
-    ) -> Result<(Response<Incoming>, Kept), Failure> {
+    ) -> Result<(Response<Incoming>, Out), Failure> {
         let mut kept = match self.ready(address).await {
             Some(kept) => kept,
             None => self.connected(address).await?,
@@ -106,9 +143,10 @@
             self.give_back(address, kept);
             return Err(Failure::NotSent);
         }
-        let answered = kept.sender.send_request(request).await;
-        match answered {
-            Ok(response) => Ok((response, kept)),
+        let answered = kept.sender.send_request(request);
+        let out = Out { kept: Some(kept), resets: self.resets };
+        match answered.await {
+            Ok(response) => Ok((response, out)),
             Err(trouble) if trouble.is_canceled() => Err(Failure::NotSent),
             Err(_) => Err(Failure::Lost),
         }
@@ -141,12 +179,13 @@
             _ => return Err(Failure::NoConnection),
         };
         _ = stream.get_ref().set_nodelay(true);
+        let socket = stream.share();
         let (sender, connection) =
             handshake(FuturesIo::new(stream)).await.map_err(|_| Failure::NoConnection)?;
         let connection = self.exec.spawn(async move {
             _ = connection.await;
         });
-        Ok(Kept { sender, _connection: connection, since: Instant::now() })
+        Ok(Kept { sender, _connection: connection, socket, since: Instant::now() })
     }
 
     fn give_back(&self, address: &str, mut kept: Kept) {
@@ -206,3 +245,43 @@
         bare(method, address, path)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{block_on, executor};
+    use futures_lite::AsyncReadExt;
+    use std::io::ErrorKind;
+    use test_case::test_case;
+
+    #[test_case(true => Some(ErrorKind::ConnectionReset); "reset, where that is asked for")]
+    #[test_case(false => None; "closed otherwise")]
+    fn an_exchange_that_is_dropped(resets: bool) -> Option<ErrorKind> {
+        let exec = executor();
+        block_on(exec.run(async {
+            let listener = crate::Listener::bind(([127, 0, 0, 1], 0).into()).unwrap();
+            let address = listener.get_ref().local_addr().unwrap().to_string();
+            let client = Client::new(exec, Duration::from_secs(1), 4, Duration::from_secs(1));
+            let client = if resets { client.resetting() } else { client };
+            let request = Client::request(Method::PUT, &address, "/x");
+            let asks = async {
+                let late = Timer::after(Duration::from_millis(50));
+                _ = futures_lite::future::or(
+                    async { _ = client.exchange(&address, request, 100, || true).await },
+                    late,
+                )
+                .await;
+            };
+            let accepts = async { Stream::new(listener.accept().await.unwrap().0).unwrap() };
+            let (_, mut stream) = futures_lite::future::zip(asks, accepts).await;
+            let mut bytes = [0; 512];
+            loop {
+                match stream.read(&mut bytes).await {
+                    Ok(0) => return None,
+                    Ok(_) => {}
+                    Err(trouble) => return Some(trouble.kind()),
+                }
+            }
+        }))
+    }
+}
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -15,7 +15,7 @@
 pub use nursery::Nursery;
 pub use reactor::{block_on, slept};
 pub use server::{accept, serve, serve_one, Accepted, Limits, Line, Server};
-pub use socket::{listen, Listener, Stream};
+pub use socket::{listen, Datagrams, Listener, Stream};
 pub use timer::Timer;
 
 use async_executor::LocalExecutor;
--- a/net/src/socket.rs
+++ b/net/src/socket.rs
@@ -4,7 +4,7 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -179,3 +179,48 @@
         self.source.end(&self.socket);
     }
 }
+
+/// A socket for datagrams, on one thread.
+pub struct Datagrams {
+    socket: UdpSocket,
+    source: Source,
+}
+
+impl Datagrams {
+    /// # Errors
+    /// The system's, as of `bind`.
+    pub fn bind(address: SocketAddr) -> io::Result<Datagrams> {
+        Datagrams::new(UdpSocket::bind(address)?)
+    }
+
+    /// # Errors
+    /// If the system can't watch it.
+    pub fn new(socket: UdpSocket) -> io::Result<Datagrams> {
+        socket.set_nonblocking(true)?;
+        let source = here()?.watch(&socket)?;
+        Ok(Datagrams { socket, source })
+    }
+
+    /// The next datagram: how long it is, and who sent it.
+    ///
+    /// # Errors
+    /// The system's, as of `recvfrom`.
+    pub async fn receive(&self, bytes: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        poll_fn(|cx| poll_io(&self.source, Side::Read, cx, || self.socket.recv_from(bytes))).await
+    }
+
+    /// Sends it or loses it, as the network might.
+    pub fn send(&self, bytes: &[u8], to: SocketAddr) {
+        _ = self.socket.send_to(bytes, to);
+    }
+
+    pub fn get_ref(&self) -> &UdpSocket {
+        &self.socket
+    }
+}
+
+impl Drop for Datagrams {
+    fn drop(&mut self) {
+        self.source.end(&self.socket);
+    }
+}
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -172,6 +172,12 @@
         }
         Taken::Yes => {}
     }
+    if ill.errors {
+        // It can set up nothing, and says so faster than a whole one would.
+        world.borrow_mut().fleet.end(id, vw);
+        under_way.answered(500);
+        return plain(500, "no encoder");
+    }
     Timer::after(Duration::from_secs_f64(work / 1e3)).await;
     if ill.hang || ill.lose_answers {
         return pending().await;
@@ -222,6 +228,9 @@
 }
 
 fn load(world: &Shared, id: &str, mut response: Response<Body>) -> Response<Body> {
+    if world.borrow().procs.get(id).is_some_and(|it| it.ill.lose_reports) {
+        return response;
+    }
     let report = Report { delivered: None, ..world.borrow().fleet.report(id) };
     if let Ok(value) = report.text().parse() {
         response.headers_mut().insert(HEADER, value);
@@ -342,6 +351,9 @@
         if proc.ill.hang {
             continue;
         }
+        if proc.ill.lose_reports {
+            notes.retain(|it| !matches!(it.1, Note::Load(_)));
+        }
         if proc.ill.garble {
             let load = "event: load\ndata: {\"named_metrics\":{\"link\":-1,\"uplink\":1e300}}\n\n";
             proc.listeners.retain(|_, to| to.try_send(Bytes::from(load)).is_ok());
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -1,5 +1,7 @@
 //! A day: the fleet, the viewers, and what goes wrong.
 
+use ottersail_rig::Condition;
+
 /// All that the stand-ins need to know of a day. Times in milliseconds unless told otherwise, rates in kB a second.
 #[derive(Clone, Debug)]
 pub struct Day {
@@ -71,8 +73,24 @@
     pub part: f64,
     /// How hard: what that is stands beside each kind.
     pub size: f64,
+    /// Of wires: the part of the managers whose wires it takes, which way, and to whom.
+    pub managers: f64,
+    pub ways: Ways,
+    pub to_list: bool,
+}
+
+/// Which directions of a wire fail, as seen from the manager.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ways {
+    #[default]
+    Both,
+    There,
+    Back,
 }
 
+pub const WAYS: &[(&str, Ways)] = &[("both", Ways::Both), ("there", Ways::There), ("back", Ways::Back)];
+pub const FAR_ENDS: &[(&str, bool)] = &[("servers", false), ("list", true)];
+
 macro_rules! kinds {
     ($($(#[$doc:meta])* $kind:ident $name:literal,)*) => {
         #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,6 +137,22 @@
     SlowLinks "slow-links",
     /// Reports come `size` seconds later.
     LateReports "late-reports",
+    /// Tell nothing of their load.
+    LoseReports "lose-reports",
+    /// Answer set-ups with 500 in a moment.
+    Errors "errors",
+    /// Their links give `size` times less.
+    ShortLinks "short-links",
+    /// `size` new, cold servers, from start to end, in cells that were empty.
+    Join "join",
+    /// Wires to them carry nothing, in the directions told.
+    WireCut "wire-cut",
+    /// Connections over these wires are reset.
+    WireReset "wire-reset",
+    /// All over these wires comes `size` milliseconds later, in the directions told.
+    WireSlow "wire-slow",
+    /// The part `size` of what goes over these wires is lost and sent again.
+    WireThin "wire-thin",
     /// `part` of the viewers come for one title of each package.
     Crowd "crowd",
     /// Viewers come at `size` times the rate.
@@ -141,7 +175,26 @@
     ManagerStall "manager-stall",
 }
 
+impl Fault {
+    /// What it makes of a wire, if it is one of wires.
+    pub fn condition(&self) -> Option<Condition> {
+        let whole = Condition::default();
+        match self.kind {
+            FaultKind::WireCut => Some(Condition { cut: true, ..whole }),
+            FaultKind::WireReset => Some(Condition { reset: true, ..whole }),
+            FaultKind::WireSlow => Some(Condition { slow: self.size, ..whole }),
+            FaultKind::WireThin => Some(Condition { thin: self.size.min(1.0), ..whole }),
+            _ => None,
+        }
+    }
+}
+
 impl Day {
+    /// Those faults that lie on wires between parties.
+    pub fn of_wires(&self) -> impl Iterator<Item = &Fault> {
+        self.faults.iter().filter(|it| it.condition().is_some())
+    }
+
     /// True for a manager that is told load in answer to probes only.
     pub fn probes(&self, manager: usize) -> bool {
         manager + self.probing >= self.managers
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,9 +7,11 @@
 mod list;
 mod players;
 mod record;
+mod wires;
 mod world;
 
-pub use day::{Day, DayPackage, Fault, FaultKind, FAULT_KINDS};
+pub use day::{Day, DayPackage, Fault, FaultKind, Ways, FAR_ENDS, FAULT_KINDS, WAYS};
 pub use players::{run_players, Crowd};
 pub use record::Recorder;
+pub use wires::Behind;
 pub use world::{run_fleet, FleetRun};
