--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -7,9 +7,9 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use ottersail_daemon::run::{house, start};
+use ottersail_front::baseline::{Baseline, Pick};
 use ottersail_front::decisions::Decisions;
 use ottersail_front::{Brain, Front, Ms};
-use ottersail_lab::baseline::{Baseline, Pick};
 use ottersail_net::{
     block_on, executor, flowing, serve, whole, Body, Client, Clock, Limits, Listener, Nursery, Server, Timer,
 };
--- a/bench/src/shared.rs
+++ b/bench/src/shared.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use async_channel::{bounded, Receiver, Sender};
 use ottersail_cores::Claim;
-use ottersail_lab::baseline::{Baseline, Pick};
+use ottersail_front::baseline::{Baseline, Pick};
 use ottersail_net::{block_on, executor};
 use ottersail_tickets::Keys;
 use rustix::time::{clock_gettime, ClockId};
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,7 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use ottersail_daemon::{node, rehearse, replay, run, settings};
-use ottersail_judge::{judge, record, Verdict};
+use ottersail_front::baseline::{Pick, PICKS};
+use ottersail_judge::{judge, record, write_report, Verdict};
 use std::fs::File;
 use std::io::BufReader;
 use std::path::{Path, PathBuf};
@@ -37,6 +38,12 @@
         /// For tests: on SIGUSR1 that core stands still for so many milliseconds, CORE:MS.
         #[arg(long, hide = true, value_parser = stall)]
         stall: Option<(usize, u64)>,
+        /// For days with many processes: ends when the process that started it does, however that ends.
+        #[arg(long, hide = true)]
+        with_parent: bool,
+        /// For comparison: picks plainly, with no other decisions.
+        #[arg(long, hide = true, value_parser = pick, default_value = "own")]
+        pick: Picked,
     },
     /// Plays a manager on the live platform, as the file says that BALANCER_CONFIG names, until SIGTERM.
     Node,
@@ -60,6 +67,18 @@
         /// Keeps the managers' files and logs.
         #[arg(long)]
         keep: bool,
+        /// For comparison: managers that pick plainly (random, least-loaded), in place of the day's own.
+        #[arg(long, value_parser = pick)]
+        pick: Option<Picked>,
+        /// For comparison: so many managers, in place of the day's own.
+        #[arg(long)]
+        managers: Option<u16>,
+        /// Another version of this program, for the second half of the managers.
+        #[arg(long)]
+        beside: Option<PathBuf>,
+        /// Writes the figures as JSON and as a page with plots into that folder.
+        #[arg(long)]
+        report: Option<PathBuf>,
     },
     /// Tells the library on a fake clock what a record says, and compares what it wants.
     Replay {
@@ -69,7 +88,12 @@
         keys: Option<PathBuf>,
     },
     /// Judges the rules from a record of what went over the sockets.
-    Judge { traffic: PathBuf },
+    Judge {
+        traffic: PathBuf,
+        /// Writes the figures as JSON and as a page with plots into that folder.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -88,10 +112,13 @@
         logs.with_ansi(false).init();
     }
     match line.job {
-        Job::Run { settings, record, seed, stall } => match run::run(settings, record, seed, stall) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(complaints) => complain(&complaints),
-        },
+        Job::Run { settings, record, seed, stall, with_parent, pick } => {
+            let asked = run::Asked { record, seed, stall, with_parent, pick: pick.0 };
+            match run::run(settings, asked) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(complaints) => complain(&complaints),
+            }
+        }
         Job::Node => {
             let Some(path) = std::env::var_os("BALANCER_CONFIG").filter(|it| !it.is_empty()) else {
                 return complain(&["BALANCER_CONFIG must name the configuration file".to_string()]);
@@ -108,10 +135,20 @@
             }
             Err(complaints) => complain(&complaints),
         },
-        Job::Rehearse { day, record, traffic, seed, cores, keep } => {
-            let cores = usize::from(cores);
-            let log = line.log.unwrap_or_else(|| "info".to_string());
-            let asked = rehearse::Rehearsal { day, record, traffic, seed, log, keep, cores };
+        Job::Rehearse { day, record, traffic, seed, cores, keep, pick, managers, beside, report } => {
+            let asked = rehearse::Rehearsal {
+                day,
+                record,
+                traffic,
+                seed,
+                log: line.log.unwrap_or_else(|| "info".to_string()),
+                keep,
+                cores: usize::from(cores),
+                pick: pick.and_then(|it| it.0),
+                managers: managers.map(usize::from),
+                beside,
+                report,
+            };
             match rehearse::rehearse(&asked) {
                 Ok(verdict) => tell(&verdict),
                 Err(complaints) => complain(&complaints),
@@ -124,16 +161,34 @@
             }
             Err(trouble) => complain(&[trouble]),
         },
-        Job::Judge { traffic } => {
+        Job::Judge { traffic, report } => {
             let file = File::open(&traffic).map_err(|it| it.to_string());
-            match file.and_then(|it| record::read(BufReader::new(it))) {
-                Ok((terms, lines)) => tell(&judge(&terms, &lines)),
+            let read = file.and_then(|it| record::read(BufReader::new(it)));
+            let judged = read.and_then(|(terms, lines)| {
+                let verdict = judge(&terms, &lines);
+                if let Some(folder) = report {
+                    write_report(&folder, &terms, &lines, &verdict)?;
+                }
+                Ok(verdict)
+            });
+            match judged {
+                Ok(verdict) => tell(&verdict),
                 Err(trouble) => complain(&[format!("{}: {trouble}", traffic.display())]),
             }
         }
     }
 }
 
+#[derive(Clone, Copy)]
+struct Picked(Option<Pick>);
+
+fn pick(text: &str) -> Result<Picked, String> {
+    let found = PICKS.iter().find(|it| it.0 == text).map(|it| Picked(it.1));
+    found.ok_or_else(|| {
+        format!("expected one of {}", PICKS.iter().map(|it| it.0).collect::<Vec<_>>().join(", "))
+    })
+}
+
 fn stall(text: &str) -> Result<(usize, u64), String> {
     let parts = text.split_once(':').and_then(|(core, ms)| Some((core.parse().ok()?, ms.parse().ok()?)));
     parts.ok_or_else(|| "expected CORE:MS".to_string())
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -3,18 +3,22 @@
 
 use crate::settings::day::{read_day, Plan};
 use crate::settings::manager::{write_manager, Post};
+use async_signal::Signals;
+use futures_lite::StreamExt;
 use ottersail::ids::ManagerIx;
 use ottersail::time::Ms;
-use ottersail_judge::{judge, record, Event, Verdict};
-use ottersail_net::Clock;
+use ottersail_front::baseline::{Pick, PICKS};
+use ottersail_judge::{judge, record, write_report, Event, Verdict};
+use ottersail_net::{block_on, Clock};
+use ottersail_rig::{cost, Cost, Process};
 use ottersail_standins::{run_fleet, run_players, Crowd, Fault, FaultKind, Recorder};
 use ottersail_tickets::Keys;
-use rustix::process::{getrlimit, kill_process, setrlimit, Pid, Resource, Rlimit, Signal};
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit, Signal};
 use std::fs::{self, File};
 use std::io::{BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,6 +42,13 @@
     pub keep: bool,
     /// Cores of each manager.
     pub cores: usize,
+    /// Managers that pick plainly, and so many of them, in place of the day's own.
+    pub pick: Option<Pick>,
+    pub managers: Option<usize>,
+    /// Another version of the program, for every second manager.
+    pub beside: Option<PathBuf>,
+    /// Where figures and plots go.
+    pub report: Option<PathBuf>,
 }
 
 /// After the last viewer has come, those who watch have so long to end.
@@ -49,7 +60,7 @@
 struct Manager {
     number: usize,
     address: SocketAddr,
-    child: Child,
+    child: Process,
     lives: usize,
     /// What was wrong with the end of an earlier life, or the start of a later one.
     unclean: Option<String>,
@@ -61,6 +72,9 @@
     recording: bool,
     log: String,
     seed: u64,
+    beside: Option<PathBuf>,
+    pick: Option<Pick>,
+    one_seed: bool,
     /// The core that is to stand still, and for how many milliseconds.
     stall: Option<(usize, u64)>,
 }
@@ -75,6 +89,10 @@
     if let Some(seed) = asked.seed {
         plan.day.seed = seed;
     }
+    if let Some(managers) = asked.managers.filter(|it| *it > 0) {
+        (plan.day.managers, plan.terms.managers) = (managers, managers as f64);
+    }
+    plan.pick = asked.pick.or(plan.pick);
     if plan.day.managers > MOST_MANAGERS {
         let line = format!(
             "{}: more than {MOST_MANAGERS} managers: play it with ottersail-lab",
@@ -83,18 +101,51 @@
         return Err(vec![line]);
     }
     bears(&plan).map_err(|it| vec![format!("{}: {it}", asked.day.display())])?;
-    let folder = std::env::temp_dir().join(format!("ottersail-rehearsal-{}", std::process::id()));
+    sweep();
+    let folder = std::env::temp_dir().join(format!("{RUNNING}{}", std::process::id()));
     fs::create_dir_all(&folder).map_err(|it| vec![format!("{}: {it}", folder.display())])?;
-    let played = play(&plan, asked, &folder).map_err(|it| vec![it]);
+    let interrupted = watch_signals().map_err(|it| vec![it])?;
+    let played = play(&plan, asked, &folder, &interrupted).map_err(|it| vec![it]);
     let holds = played.as_ref().is_ok_and(Verdict::holds);
-    if asked.keep || !holds {
-        eprintln!("the managers' files and logs are in {}", folder.display());
-    } else {
+    let kept = std::env::temp_dir().join(format!("ottersail-kept-{}", std::process::id()));
+    if interrupted.load(Ordering::Acquire) || !(asked.keep || !holds) {
         _ = fs::remove_dir_all(&folder);
+    } else if fs::rename(&folder, &kept).is_ok() {
+        eprintln!("the managers' files and logs are in {}", kept.display());
     }
     played
 }
 
+/// Folders of rehearsals that run, by process; those that are to be kept are named otherwise.
+const RUNNING: &str = "ottersail-rehearsal-";
+
+/// Takes away what rehearsals have left that were killed outright; their managers ended with them.
+fn sweep() {
+    for it in fs::read_dir(std::env::temp_dir()).into_iter().flatten().flatten() {
+        let name = it.file_name().into_string().unwrap_or_default();
+        let left = name.strip_prefix(RUNNING).and_then(|it| it.parse::<u32>().ok());
+        if left.is_some_and(|pid| !Path::new(&format!("/proc/{pid}")).exists()) {
+            _ = fs::remove_dir_all(it.path());
+        }
+    }
+}
+
+/// Set once this process is told to end: then nothing of the day may be left behind.
+fn watch_signals() -> Result<Arc<AtomicBool>, String> {
+    let signals = Signals::new([async_signal::Signal::Term, async_signal::Signal::Int]);
+    let mut signals = signals.map_err(|it| format!("signals can't be taken: {it}"))?;
+    let told = Arc::new(AtomicBool::new(false));
+    let tells = told.clone();
+    std::thread::spawn(move || {
+        block_on(async {
+            if signals.next().await.is_some() {
+                tells.store(true, Ordering::Release);
+            }
+        });
+    });
+    Ok(told)
+}
+
 /// What is missing on this machine for that day, in one line.
 fn bears(plan: &Plan) -> Result<(), String> {
     let (managers, servers) = (plan.day.managers as u64, plan.day.servers as u64);
@@ -113,7 +164,7 @@
         .map_err(|it| format!("needs {files} open files: {it}"))
 }
 
-fn play(plan: &Plan, asked: &Rehearsal, folder: &Path) -> Result<Verdict, String> {
+fn play(plan: &Plan, asked: &Rehearsal, folder: &Path, interrupted: &AtomicBool) -> Result<Verdict, String> {
     let tell = |it: std::io::Error| it.to_string();
     let clock = Clock::start();
     let traffic = asked.traffic.clone().unwrap_or_else(|| folder.join("traffic.jsonl"));
@@ -132,6 +183,9 @@
         recording: asked.record.is_some(),
         log: asked.log.clone(),
         seed: plan.day.seed,
+        beside: asked.beside.clone(),
+        pick: plan.pick,
+        one_seed: plan.one_seed,
         stall: stall.map(|it| (asked.cores - 1, (it.size * 1e3) as u64)),
     };
     let zones: Vec<String> =
@@ -159,8 +213,10 @@
         let child = stage.start(number, 0).map_err(tell)?;
         managers.push(Manager { number, address, child, lives: 1, unclean: None });
     }
-    let played = managers.iter().try_for_each(|it| wait_ready(it.address, START)).map(|()| {
+    let played = managers.iter().try_for_each(|it| wait_ready(it.address, START, interrupted)).map(|()| {
         managers.iter().for_each(|it| recorder.note(Event::ManagerReady { manager: it.number }));
+        rest(plan, &managers, &recorder, interrupted);
+        let costs = managers.iter().map(|it| cost(it.child.id())).collect::<Vec<_>>();
         let began = clock.now() + 200.0;
         _ = go.send_blocking(began);
         let crowd = Crowd {
@@ -180,12 +236,20 @@
                 over.store(true, Ordering::Release);
             }
         });
-        trouble(plan, &stage, &recorder, clock.instant(began), &mut managers, &over);
-        _ = players.join();
+        trouble(plan, &stage, &recorder, clock.instant(began), &mut managers, (&over, interrupted));
+        if !interrupted.load(Ordering::Acquire) {
+            _ = players.join();
+            spent(&managers, &costs, &recorder);
+        }
     });
+    if interrupted.load(Ordering::Acquire) {
+        // Those that are dropped are killed.
+        drop(managers);
+        return Err("told to end: the day was not played to its end, and its managers are gone".into());
+    }
     for it in &mut managers {
-        signal(&it.child, Signal::CONT);
-        signal(&it.child, Signal::TERM);
+        it.child.signal(Signal::CONT);
+        it.child.signal(Signal::TERM);
     }
     let unclean =
         managers.iter_mut().filter_map(|it| wait_end(it, ENDS).or(it.unclean.take())).collect::<Vec<_>>();
@@ -200,20 +264,64 @@
         fs::write(format!("{}.keys", record.display()), &keys_text).map_err(tell)?;
     }
     let (terms, lines) = record::read(BufReader::new(File::open(&traffic).map_err(tell)?))?;
-    Ok(judge(&terms, &lines))
+    let verdict = judge(&terms, &lines);
+    if let Some(folder) = &asked.report {
+        write_report(folder, &terms, &lines, &verdict)?;
+    }
+    Ok(verdict)
+}
+
+/// Nobody comes for a while, and what the managers take meanwhile is written down.
+fn rest(plan: &Plan, managers: &[Manager], recorder: &Recorder, interrupted: &AtomicBool) {
+    if plan.rest.0 <= 0.0 {
+        return;
+    }
+    // What starting took is not rest.
+    pause(Duration::from_secs(1), interrupted);
+    let all = || managers.iter().filter_map(|it| cost(it.child.id())).collect::<Vec<Cost>>();
+    let (before, began) = (all(), Instant::now());
+    pause(Duration::from_secs_f64(plan.rest.0 / 1e3), interrupted);
+    let (after, seconds) = (all(), began.elapsed().as_secs_f64());
+    let mean = |of: &dyn Fn(&Cost) -> f64, all: &[Cost]| all.iter().map(of).sum::<f64>() / all.len() as f64;
+    let more = |of: &dyn Fn(&Cost) -> f64| (mean(of, &after) - mean(of, &before)) / seconds;
+    recorder.note(Event::Rested {
+        managers: after.len(),
+        memory_kb: mean(&|it| it.memory_kb, &after),
+        wakes: more(&|it| it.wakes),
+        cpu: more(&|it| it.cpu),
+    });
+}
+
+/// Processor time that the managers have taken over the day; of those that were started again, the last life only.
+fn spent(managers: &[Manager], before: &[Option<Cost>], recorder: &Recorder) {
+    let mut cpu = 0.0;
+    for (it, before) in managers.iter().zip(before) {
+        let now = cost(it.child.id()).map_or(0.0, |it| it.cpu);
+        cpu += now - before.filter(|_| it.lives == 1).map_or(0.0, |it| it.cpu);
+    }
+    recorder.note(Event::Spent { cpu });
+}
+
+fn pause(span: Duration, interrupted: &AtomicBool) {
+    let until = Instant::now() + span;
+    while Instant::now() < until && !interrupted.load(Ordering::Acquire) {
+        std::thread::sleep(Duration::from_millis(10));
+    }
 }
 
 impl Stage {
-    fn start(&self, number: usize, life: usize) -> std::io::Result<Child> {
+    fn start(&self, number: usize, life: usize) -> std::io::Result<Process> {
         let log = File::options()
             .create(true)
             .append(true)
             .open(self.folder.join(format!("manager-{number}.log")))?;
-        let mut command = Command::new(&self.program);
+        let other = self.beside.as_ref().filter(|_| number % 2 == 1);
+        let mut command = Command::new(other.unwrap_or(&self.program));
         command.arg("run").arg(self.folder.join(format!("manager-{number}.ini")));
         command.args(["--log", &self.log]);
         // Not the same chance for each manager and life.
-        let seed = self.seed.wrapping_mul(1_000_003) + (number * 1_009 + life * 7_919) as u64;
+        let own = if self.one_seed { 0 } else { (number * 1_009 + life * 7_919) as u64 };
+        let seed = self.seed.wrapping_mul(1_000_003) + own;
         command.arg("--seed").arg(seed.to_string());
         if let Some((core, ms)) = self.stall {
             command.arg("--stall").arg(format!("{core}:{ms}"));
@@ -221,7 +329,13 @@
         if self.recording {
             command.arg("--record").arg(self.tape(number, life));
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()
+        if other.is_none() {
+            command.arg("--with-parent");
+        }
+        if let Some((name, _)) = PICKS.iter().find(|it| it.1.is_some() && it.1 == self.pick) {
+            command.args(["--pick", name]);
+        }
+        Process::start(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log))
     }
 
     fn start_again(&self, it: &mut Manager) {
@@ -245,12 +359,12 @@
     recorder: &Recorder,
     began: Instant,
     managers: &mut [Manager],
-    over: &AtomicBool,
+    (over, interrupted): (&AtomicBool, &AtomicBool),
 ) {
     let mut steps = steps_of(plan, managers.len());
     let mut returning: Vec<usize> = Vec::new();
     let mut ending: Vec<(usize, Instant)> = Vec::new();
-    while !over.load(Ordering::Acquire) {
+    while !over.load(Ordering::Acquire) && !interrupted.load(Ordering::Acquire) {
         std::thread::sleep(Duration::from_millis(10));
         returning.retain(|it| {
             let ready = is_ready(managers[*it].address);
@@ -261,16 +375,15 @@
         });
         ending.retain(|(manager, told)| {
             let it = &mut managers[*manager];
-            match it.child.try_wait() {
-                Ok(Some(status)) if !status.success() => {
+            match it.child.ended() {
+                Some(status) if !status.success() => {
                     it.unclean = Some(format!("manager {manager} ended with {status} when told to"));
                 }
-                Ok(Some(_)) => {}
-                _ if told.elapsed() < ENDS => return true,
-                _ => {
+                Some(_) => {}
+                None if told.elapsed() < ENDS => return true,
+                None => {
                     it.unclean = Some(format!("manager {manager} did not end within {ENDS:?} of SIGTERM"));
-                    _ = it.child.kill();
-                    _ = it.child.wait();
+                    it.child.kill();
                 }
             }
             recorder.note(Event::ManagerEnded { manager: *manager });
@@ -289,8 +402,7 @@
         match act {
             Act::Kill => {
                 recorder.note(Event::ManagerKilled { manager });
-                _ = it.child.kill();
-                _ = it.child.wait();
+                it.child.kill();
             }
             Act::Start => {
                 stage.start_again(it);
@@ -298,20 +410,20 @@
             }
             Act::Tell => {
                 recorder.note(Event::ManagerTold { manager });
-                signal(&it.child, Signal::TERM);
+                it.child.signal(Signal::TERM);
                 ending.push((manager, Instant::now()));
             }
             Act::Stop => {
                 recorder.note(Event::ManagerStopped { manager });
-                signal(&it.child, Signal::STOP);
+                it.child.signal(Signal::STOP);
             }
             Act::StallCore => {
                 recorder.note(Event::CoreStopped { manager });
-                signal(&it.child, Signal::USR1);
+                it.child.signal(Signal::USR1);
             }
             Act::CoreMoves => recorder.note(Event::CoreContinued { manager }),
             Act::GoOn => {
-                signal(&it.child, Signal::CONT);
+                it.child.signal(Signal::CONT);
                 recorder.note(Event::ManagerContinued { manager });
             }
         }
@@ -376,25 +488,16 @@
     steps
 }
 
-fn signal(child: &Child, signal: Signal) {
-    if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
-        _ = kill_process(pid, signal);
-    }
-}
-
 /// Waits for a manager to end by itself; what is wrong if it does not, or not well.
 fn wait_end(it: &mut Manager, patience: Duration) -> Option<String> {
-    let began = Instant::now();
-    while began.elapsed() < patience {
-        match it.child.try_wait() {
-            Ok(Some(status)) if status.success() => return None,
-            Ok(Some(status)) => return Some(format!("manager {} ended with {status}", it.number)),
-            _ => std::thread::sleep(Duration::from_millis(10)),
+    match it.child.wait(patience) {
+        Some(status) if status.success() => None,
+        Some(status) => Some(format!("manager {} ended with {status}", it.number)),
+        None => {
+            it.child.kill();
+            Some(format!("manager {} did not end within {patience:?} of SIGTERM", it.number))
         }
     }
-    _ = it.child.kill();
-    _ = it.child.wait();
-    Some(format!("manager {} did not end within {patience:?} of SIGTERM", it.number))
 }
 
 /// Each manager has an address of its own in 127.0.0.0/8, and a port there that nobody holds just now; rehearsals at the
@@ -417,9 +520,9 @@
     ask().unwrap_or(false)
 }
 
-fn wait_ready(address: SocketAddr, patience: Duration) -> Result<(), String> {
+fn wait_ready(address: SocketAddr, patience: Duration, interrupted: &AtomicBool) -> Result<(), String> {
     let began = Instant::now();
-    while began.elapsed() < patience {
+    while began.elapsed() < patience && !interrupted.load(Ordering::Acquire) {
         if is_ready(address) {
             return Ok(());
         }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -9,17 +9,21 @@
 use crate::worker::{Shared, Worker};
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
-use async_signal::{Signal, Signals};
+use async_signal::{Signal as Heard, Signals};
 use futures_lite::StreamExt;
 use ottersail_cores::Spread;
+use ottersail_front::baseline::{Baseline, Pick};
+use ottersail_front::decisions::Decisions;
 use ottersail_front::tape::Told;
-use ottersail_front::{Front, House, Ms, Orders};
+use ottersail_front::{Answers, Front, House, Ms, Orders};
 use ottersail_net::{
     accept, block_on, executor, listen, serve_one, Accepted, Clock, Exec, Limits, Listener, Nursery, Server,
     Timer,
 };
 use ottersail_tickets::Keys;
-use rustix::process::{getrlimit, setrlimit, Resource};
+use rustix::process::{
+    getppid, getrlimit, set_parent_process_death_signal, setrlimit, Pid, Resource, Signal,
+};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -89,21 +93,51 @@
     fn probe(&mut self, _: &ottersail_front::ids::ServerId, _: &str) {}
 }
 
+/// What is asked of a manager on the command line.
+#[derive(Default)]
+pub struct Asked {
+    pub record: Option<PathBuf>,
+    pub seed: Option<u64>,
+    pub stall: Option<(usize, u64)>,
+    pub with_parent: bool,
+    pub pick: Option<Pick>,
+}
+
+/// Guards against processes that outlive a day whose own process is killed outright.
+fn end_with_parent() -> Result<(), String> {
+    let parent = getppid();
+    set_parent_process_death_signal(Some(Signal::KILL))
+        .map_err(|it| format!("the end of the process that started this one can't be heard: {it}"))?;
+    if getppid() != parent || parent == Some(Pid::INIT) {
+        return Err("the process that started this one has ended already".into());
+    }
+    Ok(())
+}
+
 /// Runs a manager; comes back after SIGTERM or SIGINT, once all that was taken has its answer.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn run(
-    path: PathBuf,
-    record: Option<PathBuf>,
-    seed: Option<u64>,
-    stall: Option<(usize, u64)>,
-) -> Result<(), Vec<String>> {
+pub fn run(path: PathBuf, asked: Asked) -> Result<(), Vec<String>> {
+    let Asked { record, seed, stall, with_parent, pick } = asked;
+    if with_parent {
+        end_with_parent().map_err(|it| vec![it])?;
+    }
     let (text, manager, keys) = read(&path)?;
     let clock = Clock::start();
     let seed = seed.unwrap_or_else(|| fastrand::u64(..));
     let now = Ms(clock.now());
-    let front = Front::new(now, seed, manager.terms.clone(), house(&manager, keys.clone()), &mut NoOrders);
+    let (terms, home) = (manager.terms.clone(), house(&manager, keys.clone()));
+    let front = match pick {
+        None => Front::new(now, seed, terms, home, &mut NoOrders),
+        Some(pick) => {
+            warn!(?pick, "picks plainly, for comparison: it keeps no rules but floors");
+            let plain = move |terms, _: &mut dyn Answers| -> Box<dyn Decisions> {
+                Box::new(Baseline::new(terms, pick, seed))
+            };
+            Front::with(now, terms, home, &mut NoOrders, plain)
+        }
+    };
     let header =
         json!({ "begins": now.0, "seed": seed, "file": path.display().to_string(), "settings": text });
     let tape =
@@ -117,14 +151,14 @@
     info!(listen, cores, managers = manager.terms.managers, number = manager.terms.me.0, "running");
 
     block_on(exec.run(async {
-        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1]) {
+        let mut signals = match Signals::new([Heard::Term, Heard::Int, Heard::Hup, Heard::Usr1]) {
             Ok(signals) => signals,
             Err(trouble) => return Err(vec![format!("signals can't be taken: {trouble}")]),
         };
         while let Some(signal) = signals.next().await {
             match signal {
-                Ok(Signal::Hup) => reload(&path, &manager, &running),
-                Ok(Signal::Usr1) => stand_still(&running, stall),
+                Ok(Heard::Hup) => reload(&path, &manager, &running),
+                Ok(Heard::Usr1) => stand_still(&running, stall),
                 Ok(_) => break,
                 Err(trouble) => warn!(%trouble, "signal"),
             }
@@ -248,9 +282,12 @@
     limits: Limits,
 ) -> Rc<Worker> {
     let worker = Worker::new(exec, index, shared.clone());
-    exec.spawn(worker.clone().pulse()).detach();
     exec.spawn(worker.clone().run_errands()).detach();
-    exec.spawn(rescue::watch(shared.clone(), index)).detach();
+    // Alone, a core has nobody to watch or to be watched by: at rest it is not woken for that.
+    if shared.cores.len() > 1 {
+        exec.spawn(worker.clone().pulse()).detach();
+        exec.spawn(rescue::watch(shared.clone(), index)).detach();
+    }
     let service = Rc::new(Service { worker: worker.clone() });
     let nursery = Nursery::new(exec);
     exec.spawn(async move {
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -4,8 +4,9 @@
 use super::sheet::{Section, Sheet};
 use ottersail::terms::{Repeat, Terms};
 use ottersail::time::Ms;
-use ottersail_judge::record::{PackageTerms, Shapes, Terms as Judged};
-use ottersail_standins::{Day, DayPackage, Fault, Ways, FAR_ENDS, FAULT_KINDS, WAYS};
+use ottersail_front::baseline::{Pick, PICKS};
+use ottersail_judge::record::{Even, PackageTerms, Shapes, Terms as Judged, Titles};
+use ottersail_standins::{Day, DayPackage, Fault, Ways, FAR_ENDS, FAULT_KINDS, TITLE_STRIDE, WAYS};
 use std::path::Path;
 
 /// A day, and the terms of its managers but for number and zone.
@@ -16,6 +17,13 @@
     pub grace: Ms,
     /// What managers of two shapes may differ by.
     pub factor: f64,
+    /// Before the viewers come, the managers are watched at rest for so long.
+    pub rest: Ms,
+    /// How even it has to be, where that is told.
+    pub even: Option<Even>,
+    /// The managers pick plainly, for comparison; and all by the same chance.
+    pub pick: Option<Pick>,
+    pub one_seed: bool,
 }
 
 const SECONDS: std::ops::RangeInclusive<f64> = 0.0..=3600.0;
@@ -63,6 +71,14 @@
             }
         })
         .collect();
+    let rest = Ms(1e3 * day.number_or("rest-s", 0.0..=60.0, 0.0));
+    let pick = day.word_or("pick", PICKS, None);
+    let one_seed = day.flag_or("one-seed", false);
+    let even = sheet.sections("even").first().map(|(_, it)| Even {
+        herd: it.number("herd", 1.0..=100.0),
+        idle: it.number("idle", 0.0..=1.0),
+        over_oracle: it.number("over-oracle", 1.0..=100.0),
+    });
     let faults = sheet.sections("fault").iter().map(|(name, it)| fault(name, it)).collect();
     let day = Day {
         seed: day.whole("seed", 0..=u64::MAX),
@@ -108,7 +124,7 @@
     let factor = fleet.number_or("shapes-factor", 1.0..=100.0, 2.0);
     let complaints = sheet.complaints();
     if complaints.is_empty() {
-        Ok(Plan { day, terms, grace: Ms(grace), factor })
+        Ok(Plan { day, terms, grace: Ms(grace), factor, rest, even, pick, one_seed })
     } else {
         Err(complaints)
     }
@@ -138,7 +154,10 @@
         let terms = &self.terms;
         let package = |it: &ottersail::terms::Package| {
             let may_repeat = it.repeat != Repeat::AtMostOnce;
-            (it.name.clone(), PackageTerms { may_repeat, floor: it.floor.0, seats: it.seats })
+            (
+                it.name.clone(),
+                PackageTerms { may_repeat, floor: it.floor.0, seats: it.seats, scale: it.scale },
+            )
         };
         let shapes = Shapes { new_from: self.day.managers - self.day.probing, factor: self.factor };
         Judged {
@@ -150,6 +169,10 @@
             fall: terms.cold.fall_window.0,
             budget: terms.budget.map(|it| (it.free, it.ratio, it.span.0)),
             packages: terms.packages.iter().map(package).collect(),
+            even: self.even,
+            rates_kb: terms.ladder_kb.clone(),
+            reports: (self.day.reports_every, self.day.seen_after),
+            titles: Some(Titles { cells: self.day.cells, copies: self.day.copies, stride: TITLE_STRIDE }),
         }
     }
 }
--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -205,6 +205,11 @@
                 Some(Ok(answer)) if answer.status == StatusCode::OK => {
                     let at =
                         answer.headers.get(INDEX_HEADER).and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
+                    // What was told already is not read again: at hundreds of managers that is most of their work at rest.
+                    if at.is_some() && at == index {
+                        futures_lite::future::yield_now().await;
+                        continue;
+                    }
                     let told = if servers {
                         read_servers(&answer.body).map(|list| Told::Listed { index: at.unwrap_or(0), list })
                     } else {
@@ -212,9 +217,7 @@
                     };
                     match (told, at) {
                         (Ok(told), Some(at)) => {
-                            if index != Some(at) {
-                                self.tell(told).await;
-                            }
+                            self.tell(told).await;
                             let known = if servers { &self.shared.listed } else { &self.shared.titled };
                             known.store(true, Ordering::Release);
                             index = Some(at);
--- a/lab/src/baseline.rs
+++ b/front/src/baseline.rs
@@ -1,11 +1,11 @@
-//! Plain picks, for comparison only, in the laboratory and in benchmarks: no split, no pace, no budget, no health, no
+//! Plain picks, for comparison only, in the laboratory, in benchmarks and on the rig: no split, no pace, no budget, no health, no
 //! steps. They keep what a manager can't do without: floors, and one tune-in for each viewing.
 
-use ottersail_front::decisions::{Decisions, Ended};
-use ottersail_front::ids::{BellTag, Cell, PackageIx, ServerId, TenantIx, ViewingId};
-use ottersail_front::state::{Availability, Entry, ListMode, Load, Topic, Wish};
-use ottersail_front::terms::Terms;
-use ottersail_front::{Answers, Ms};
+use crate::decisions::{Decisions, Ended};
+use crate::ids::{BellTag, Cell, PackageIx, ServerId, TenantIx, ViewingId};
+use crate::state::{Availability, Entry, ListMode, Load, Topic, Wish};
+use crate::terms::Terms;
+use crate::{Answers, Ms};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +18,14 @@
     LowestRung,
 }
 
+/// By their names in a day's file and on the command line.
+pub const PICKS: &[(&str, Option<Pick>)] = &[
+    ("own", None),
+    ("random", Some(Pick::Random)),
+    ("least-loaded", Some(Pick::LeastLoaded)),
+    ("lowest-rung", Some(Pick::LowestRung)),
+];
+
 pub struct Baseline {
     pick: Pick,
     terms: Terms,
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! What the front chooses that the module does not lies in files of its own: [`presence`] (when a viewer has left,
 //! how much of patience is the front's), [`roster`] (which list to believe).
 
+pub mod baseline;
 pub mod decisions;
 mod front;
 pub mod orders;
--- a/judge/src/lib.rs
+++ b/judge/src/lib.rs
@@ -2,9 +2,13 @@
 //! Nothing that a manager says of itself counts.
 
 pub mod record;
+mod report;
 mod rules;
 mod spread;
+mod standing;
 
 pub use record::{Event, Line, Terms};
+pub use report::write_report;
 pub use rules::{judge, Finding, Verdict};
-pub use spread::{spread, Spread, Swing};
+pub use spread::{spread, Compared, Spread, Swing, Times};
+pub use standing::Evenness;
--- a/judge/src/record.rs
+++ b/judge/src/record.rs
@@ -25,6 +25,45 @@
     /// Managers of two shapes before the same servers, where the day has both.
     #[serde(default)]
     pub shapes: Option<Shapes>,
+    #[serde(default)]
+    pub even: Option<Even>,
+    /// Where titles lie, if it was told.
+    #[serde(default)]
+    pub titles: Option<Titles>,
+    /// Rates of the ladder, in kB a second.
+    #[serde(default)]
+    pub rates_kb: Vec<f64>,
+    /// Milliseconds between two reports of a server, and until they are seen.
+    #[serde(default)]
+    pub reports: (f64, f64),
+}
+
+/// How even set-ups have to go over the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Even {
+    /// The most that the herd index may be in windows of a second.
+    pub herd: f64,
+    /// The most of the time in which servers may be idle.
+    pub idle: f64,
+    /// Standing viewings at the fullest server over the mean, over what they would be for an oracle.
+    pub over_oracle: f64,
+}
+
+/// Title number n of each package lies in `copies` cells from `n x stride` on, counted around all cells.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Titles {
+    pub cells: u64,
+    pub copies: u64,
+    pub stride: u64,
+}
+
+impl Titles {
+    /// The cells of a title by its name, which ends in its number.
+    pub fn cells_of(&self, title: &str) -> impl Iterator<Item = u64> {
+        let number = title.rsplit_once('-').and_then(|it| it.1.parse::<u64>().ok()).unwrap_or(0);
+        let (cells, base) = (self.cells.max(1), number * self.stride);
+        (0..self.copies).map(move |it| (base + it) % cells)
+    }
 }
 
 /// Managers from this number on are of the new shape; neither shape may get more than `factor` times what the other
@@ -41,6 +80,9 @@
     pub floor: usize,
     /// 0 is no limit.
     pub seats: usize,
+    /// What its rates are over those of the ladder.
+    #[serde(default)]
+    pub scale: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,6 +141,15 @@
         server: String,
         cold: bool,
         places: f64,
+        #[serde(default)]
+        cell: u64,
+        /// What its link gives, and the uplink that it shares with all of its rack, in kB a second; 0 if it has none.
+        #[serde(default)]
+        link_kb: f64,
+        #[serde(default)]
+        rack: usize,
+        #[serde(default)]
+        uplink_kb: f64,
     },
     ServerEnded {
         server: String,
@@ -179,6 +230,21 @@
     CoreContinued {
         manager: usize,
     },
+    /// A server told all managers who listen how full it is.
+    Noted {
+        server: String,
+    },
+    /// What a manager takes at rest, the mean of all: memory; wake-ups and milliseconds of processor time a second.
+    Rested {
+        managers: usize,
+        memory_kb: f64,
+        wakes: f64,
+        cpu: f64,
+    },
+    /// Processor time of all managers over the day, in milliseconds.
+    Spent {
+        cpu: f64,
+    },
     /// A fault was caused or taken back.
     Fault {
         name: String,
--- a/judge/src/rules.rs
+++ b/judge/src/rules.rs
@@ -1,5 +1,6 @@
 use crate::record::{Event, Line, Shapes, Standing, Terms};
 use crate::spread::{spread, Spread};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
@@ -9,7 +10,7 @@
 const CHANCE: f64 = 1.0;
 
 /// One rule, what it was judged on, and where it was broken.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Finding {
     pub rule: u8,
     pub name: &'static str,
@@ -19,7 +20,7 @@
     pub broken: Vec<String>,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Verdict {
     pub findings: Vec<Finding>,
     /// Requests asked, played, blocked, aborted, left; steps up and down.
@@ -79,6 +80,11 @@
         budget(terms, lines),
     ];
     findings.extend(terms.shapes.map(|it| starved(it, lines)));
+    let spread = spread(terms, lines);
+    if let (Some(even), Some(spread)) = (terms.even, &spread) {
+        let (judged, broken) = (setups.len(), spread.misses(even));
+        findings.push(Finding { rule: 8, name: "even over the servers", judged, of: "set-ups", broken });
+    }
     let (mut counts, mut value) = (BTreeMap::new(), (0.0, 0.0));
     let mut rungs: BTreeMap<&str, usize> = BTreeMap::new();
     for name in ["asked", "played", "blocked", "aborted", "left", "steps up", "steps down"] {
@@ -140,7 +146,7 @@
     };
     let flaws = lines.iter().filter_map(flaw).collect();
     let value = (value.1 > 0.0).then(|| value.0 / value.1);
-    Verdict { findings, counts, flaws, value, spread: spread(lines) }
+    Verdict { findings, counts, flaws, value, spread }
 }
 
 /// What blocked shares may differ by, whatever their factor: of a small share little is said.
@@ -522,7 +528,7 @@
     let mut started: BTreeMap<&str, (f64, f64, Vec<f64>)> = BTreeMap::new();
     for line in lines {
         match &line.event {
-            Event::ServerStarted { server, cold: true, places } => {
+            Event::ServerStarted { server, cold: true, places, .. } => {
                 started.insert(server, (line.at, *places, Vec::new()));
             }
             Event::ServerEnded { server } => _ = started.remove(server.as_str()),
--- a/judge/src/rules/tests.rs
+++ b/judge/src/rules/tests.rs
@@ -3,7 +3,7 @@
 use test_case::test_case;
 
 fn terms() -> Terms {
-    let package = |may_repeat, floor, seats| PackageTerms { may_repeat, floor, seats };
+    let package = |may_repeat, floor, seats| PackageTerms { may_repeat, floor, seats, scale: 1.0 };
     Terms {
         drain_grace: 1000.0,
         cold: 8000.0,
@@ -13,6 +13,7 @@
         budget: Some((1.0, 0.5, 5000.0)),
         packages: [("clips".into(), package(true, 0, 0)), ("rides".into(), package(false, 1, 1))].into(),
         shapes: None,
+        ..Terms::default()
     }
 }
 
@@ -44,7 +45,15 @@
 }
 
 fn cold(places: f64) -> Event {
-    Event::ServerStarted { server: "a".into(), cold: true, places }
+    Event::ServerStarted {
+        server: "a".into(),
+        cold: true,
+        places,
+        cell: 0,
+        link_kb: 0.0,
+        rack: 0,
+        uplink_kb: 0.0,
+    }
 }
 
 /// The rules that are broken by what happened at those times.
--- a/judge/src/spread.rs
+++ b/judge/src/spread.rs
@@ -1,19 +1,28 @@
 //! How evenly set-ups went over the servers, from the record: chance alone is the measure. A herd is what managers do in
 //! step; it shows as more swing between servers and windows than independent picks would give.
 
-use crate::record::{Event, Line};
+use crate::record::{Even, Event, Line, Terms};
+use crate::standing::{Evenness, Picker, Stays};
+use hdrhistogram::Histogram;
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// Windows over which set-ups are counted, in milliseconds.
 const WINDOWS: [f64; 3] = [100.0, 1_000.0, 10_000.0];
+/// The window that is looked at after something that all managers hear of.
+const AFTER: f64 = 1_000.0;
+/// What all hear of within so long is one thing.
+const ONE_THING: f64 = 1_000.0;
 /// A server that got nothing for so many of its mean gaps is idle; chance alone leaves e^-3, 5 in 100, so long.
 const IDLE: f64 = 3.0;
 /// Servers that got fewer set-ups have no gap to speak of.
 const FEW: usize = 5;
+/// Times are counted up to an hour, in microseconds, to three digits.
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// Set-ups in windows of one length.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Swing {
     pub window: f64,
     /// Variance of a server's set-ups in a window over what independent picks with each server's usual part would give.
@@ -22,104 +31,183 @@
     pub largest: f64,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+/// How it was, and how the same viewings would have stood with other picks.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Compared {
+    pub as_it_was: Evenness,
+    pub oracle: Evenness,
+    /// The emptier of two random holders, by loads that are fresh, or as old as the day's reports.
+    pub two_fresh: Evenness,
+    pub two_old: Evenness,
+    pub random: Evenness,
+}
+
+/// Milliseconds from a request to its answer, of viewings that played.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Times {
+    pub half: f64,
+    pub nine_of_ten: f64,
+    pub most: f64,
+    pub thousandth: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Spread {
     pub servers: usize,
     pub swings: Vec<Swing>,
+    /// The herd index in the second after a server's note, for that server; after each change of the list, and after a
+    /// fault's end; `None` where there was none.
+    pub after_notes: Option<f64>,
+    pub after_changes: Option<f64>,
+    pub after_returns: Option<f64>,
     /// Part of the time in which a server waits for longer than three of its mean gaps.
     pub idle: f64,
-    /// Viewings that stand: of the servers' means over the day, the largest and the 99th of 100 over the mean of all.
-    pub standing: (f64, f64),
+    /// Turned away while another holder of the title had room, and turned away in all.
+    pub wasted: Option<(usize, usize)>,
+    pub standing: Evenness,
+    pub compared: Option<Compared>,
+    pub times: Times,
+    /// Of a manager at rest: memory in kB, wake-ups a second, milliseconds of processor time a second.
+    pub rest: Option<(f64, f64, f64)>,
+    /// Milliseconds of the managers' processor time for each set-up.
+    pub cpu_a_set_up: Option<f64>,
 }
 
 /// From when until when a server ran, and when it got set-ups.
-#[derive(Default)]
-struct Life {
+struct Run {
     from: f64,
     until: f64,
     got: Vec<f64>,
-    /// Viewings standing, times milliseconds; how many stand, and since when that many.
-    stood: f64,
-    stands: f64,
-    since: f64,
 }
 
-impl Life {
-    fn stand(&mut self, at: f64, more: f64) {
-        self.stood += self.stands * (at - self.since);
-        (self.stands, self.since) = ((self.stands + more).max(0.0), at);
-    }
-
+impl Run {
     fn rate(&self) -> f64 {
         self.got.len() as f64 / (self.until - self.from).max(1.0)
     }
+
+    fn count(&self, (from, until): (f64, f64)) -> f64 {
+        (self.got.partition_point(|at| *at < until) - self.got.partition_point(|at| *at < from)) as f64
+    }
+
+    fn ran(&self, (from, until): (f64, f64)) -> bool {
+        self.from <= from && until <= self.until
+    }
 }
 
 /// `None` where nothing was set up.
-pub fn spread(lines: &[Line]) -> Option<Spread> {
-    let first = lines.iter().find(|it| matches!(it.event, Event::SetUp { .. }))?.at;
-    let last = lines.iter().rfind(|it| matches!(it.event, Event::SetUp { .. }))?.at;
-    let mut lives: BTreeMap<&str, Life> = BTreeMap::new();
+pub fn spread(terms: &Terms, lines: &[Line]) -> Option<Spread> {
+    let stays = Stays::of(terms, lines)?;
+    let (first, last) = (stays.first, stays.last);
+    let mut runs: Vec<Run> =
+        stays.lives.iter().map(|it| Run { from: it.from, until: it.until, got: Vec::new() }).collect();
+    let mut by_name: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+    for (ix, it) in stays.lives.iter().enumerate() {
+        by_name.entry(&it.server).or_default().push(ix);
+    }
+    let mut notes: Vec<(usize, f64)> = Vec::new();
+    let (mut changes, mut returns): (Vec<f64>, Vec<f64>) = (Vec::new(), Vec::new());
     for line in lines {
+        let at = |server: &String, runs: &[Run]| {
+            let all = by_name.get(server.as_str())?;
+            all.iter().copied().find(|it| runs[*it].from <= line.at && line.at <= runs[*it].until)
+        };
         match &line.event {
-            Event::ServerStarted { server, .. } => {
-                let from = line.at.max(first);
-                let life = Life { from, until: last, since: from, ..Life::default() };
-                lives.entry(server).or_insert(life);
-            }
-            Event::ServerEnded { server } | Event::Fell { server } => {
-                if let Some(it) = lives.get_mut(server.as_str()) {
-                    it.stand(line.at.min(last), 0.0);
-                    it.until = it.until.min(line.at);
-                }
-            }
             Event::SetUp { server, .. } => {
-                let life = || Life { from: first, until: last, since: first, ..Life::default() };
-                lives.entry(server).or_insert_with(life).got.push(line.at);
-            }
-            Event::SetUpAnswered { server, status: 201, .. } if line.at <= last => {
-                if let Some(it) = lives.get_mut(server.as_str()) {
-                    it.stand(line.at, 1.0);
-                }
-            }
-            Event::Ended { server, .. } if line.at <= last => {
-                if let Some(it) = lives.get_mut(server.as_str()) {
-                    it.stand(line.at, -1.0);
-                }
+                at(server, &runs).into_iter().for_each(|it| runs[it].got.push(line.at))
             }
+            Event::Noted { server } => notes.extend(at(server, &runs).map(|it| (it, line.at))),
+            Event::Told { .. } if line.at > first => changes.push(line.at),
+            Event::Fault { on: false, .. } => returns.push(line.at),
             _ => {}
         }
     }
-    let mut lives: Vec<Life> = lives.into_values().filter(|it| it.until > it.from).collect();
-    lives.iter_mut().for_each(|it| it.stand(it.until.max(it.since), 0.0));
-    let swings = WINDOWS.iter().filter_map(|it| swing(&lives, first, last, *it)).collect();
-    let means: Vec<f64> = lives.iter().map(|it| it.stood / (it.until - it.from)).collect();
-    Some(Spread { servers: lives.len(), swings, idle: idle(&lives), standing: over_mean(means) })
+    let windows = |window: f64| {
+        let count = ((last - first) / window).floor() as usize;
+        (0..count)
+            .map(move |it| (first + window * it as f64, first + window * (it + 1) as f64))
+            .collect::<Vec<_>>()
+    };
+    let swings = WINDOWS.iter().filter_map(|it| swing(&runs, &windows(*it), *it)).collect();
+    let after = |mut times: Vec<f64>| {
+        times.sort_by(f64::total_cmp);
+        times.dedup_by(|b, a| *b - *a < ONE_THING);
+        let windows: Vec<(f64, f64)> =
+            times.into_iter().map(|it| (it, it + AFTER)).filter(|it| it.1 <= last).collect();
+        herd(&runs, &windows).map(|it| it.0)
+    };
+    let titles = terms.titles;
+    let compared = titles.map(|titles| {
+        let as_if = |pick| stays.had_it_been(titles, pick);
+        Compared {
+            as_it_was: stays.as_it_was(),
+            oracle: as_if(Picker::Oracle),
+            two_fresh: as_if(Picker::Two { old: 0.0 }),
+            two_old: as_if(Picker::Two { old: terms.reports.0 + terms.reports.1 }),
+            random: as_if(Picker::Random),
+        }
+    });
+    let set_ups = lines.iter().filter(|it| matches!(it.event, Event::SetUp { .. })).count();
+    let rest = lines.iter().find_map(|it| match it.event {
+        Event::Rested { memory_kb, wakes, cpu, .. } => Some((memory_kb, wakes, cpu)),
+        _ => None,
+    });
+    let cpu_a_set_up = lines.iter().find_map(|it| match it.event {
+        Event::Spent { cpu } => Some(cpu / set_ups.max(1) as f64),
+        _ => None,
+    });
+    Some(Spread {
+        servers: runs.iter().filter(|it| it.until > it.from).count(),
+        swings,
+        after_notes: after_notes(&runs, &notes, last),
+        after_changes: after(changes),
+        after_returns: after(returns),
+        idle: idle(&runs),
+        wasted: titles.map(|it| stays.wasted(it, lines)),
+        standing: stays.as_it_was(),
+        compared,
+        times: times(lines),
+        rest,
+        cpu_a_set_up,
+    })
 }
 
-fn over_mean(mut all: Vec<f64>) -> (f64, f64) {
-    all.sort_by(f64::total_cmp);
-    let mean = all.iter().sum::<f64>() / all.len().max(1) as f64;
-    let at = |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1)));
-    let over = |it: Option<&f64>| it.copied().unwrap_or(0.0) / mean.max(1e-9);
-    (over(all.last()), over(at(0.99)))
+/// Milliseconds until a viewing that was asked for played.
+fn times(lines: &[Line]) -> Times {
+    let mut asked: BTreeMap<u64, f64> = BTreeMap::new();
+    let Ok(mut seen) = Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3) else {
+        return Times::default();
+    };
+    for line in lines {
+        match line.event {
+            Event::Asked { ask, first: true, .. } => _ = asked.insert(ask, line.at),
+            Event::Answered { ask, status: 200 } => {
+                if let Some(at) = asked.remove(&ask) {
+                    seen.saturating_record((((line.at - at) * 1e3) as u64).max(1));
+                }
+            }
+            _ => {}
+        }
+    }
+    let at = |part: f64| if seen.is_empty() { 0.0 } else { seen.value_at_quantile(part) as f64 / 1e3 };
+    Times { half: at(0.5), nine_of_ten: at(0.9), most: at(0.99), thousandth: at(0.999) }
 }
 
-fn swing(lives: &[Life], first: f64, last: f64, window: f64) -> Option<Swing> {
-    let windows = ((last - first) / window).floor() as usize;
-    if windows < 2 {
+fn swing(runs: &[Run], windows: &[(f64, f64)], window: f64) -> Option<Swing> {
+    if windows.len() < 2 {
         return None;
     }
+    let (herd, largest) = herd(runs, windows)?;
+    // The usual parts are taken from the same windows: one of them is not free.
+    let free = windows.len() as f64 / (windows.len() as f64 - 1.0);
+    Some(Swing { window, herd: herd * free, largest })
+}
+
+/// The herd index over some windows, and the largest count over the mean.
+fn herd(runs: &[Run], windows: &[(f64, f64)]) -> Option<(f64, f64)> {
     let (mut seen, mut chance, mut largest, mut counted) = (0.0, 0.0, 0.0, 0.0);
-    for number in 0..windows {
-        let from = first + window * number as f64;
-        let there: Vec<&Life> =
-            lives.iter().filter(|it| it.from <= from && from + window <= it.until).collect();
-        let count = |it: &Life| {
-            (it.got.partition_point(|at| *at < from + window) - it.got.partition_point(|at| *at < from))
-                as f64
-        };
-        let counts: Vec<f64> = there.iter().map(|it| count(it)).collect();
+    for window in windows {
+        let there: Vec<&Run> = runs.iter().filter(|it| it.ran(*window)).collect();
+        let counts: Vec<f64> = there.iter().map(|it| it.count(*window)).collect();
         let (all, usual) = (counts.iter().sum::<f64>(), there.iter().map(|it| it.rate()).sum::<f64>());
         if all < 1.0 || usual <= 0.0 {
             continue;
@@ -132,14 +220,31 @@
         largest += counts.iter().fold(0.0, |a: f64, b| a.max(*b)) / (all / counts.len() as f64);
         counted += 1.0;
     }
-    // The usual parts are taken from the same windows: one of them is not free.
-    let free = windows as f64 / (windows as f64 - 1.0);
-    (chance > 0.0).then(|| Swing { window, herd: seen / chance * free, largest: largest / counted })
+    (chance > 0.0).then(|| (seen / chance, largest / counted))
+}
+
+/// The herd index of single servers in the second after their own notes: who hears that one is empty goes there together.
+fn after_notes(runs: &[Run], notes: &[(usize, f64)], last: f64) -> Option<f64> {
+    let (mut seen, mut chance) = (0.0, 0.0);
+    for (server, at) in notes {
+        let window = (*at, at + AFTER);
+        let Some(it) = runs.get(*server).filter(|it| it.ran(window) && window.1 <= last) else {
+            continue;
+        };
+        let there = runs.iter().filter(|it| it.ran(window));
+        let (all, usual) = there.fold((0.0, 0.0), |sum, it| (sum.0 + it.count(window), sum.1 + it.rate()));
+        if all >= 1.0 && usual > 0.0 {
+            let part = it.rate() / usual;
+            seen += (it.count(window) - all * part).powi(2);
+            chance += all * part * (1.0 - part);
+        }
+    }
+    (chance > 0.0).then(|| seen / chance)
 }
 
-fn idle(lives: &[Life]) -> f64 {
+fn idle(runs: &[Run]) -> f64 {
     let (mut idle, mut all) = (0.0, 0.0);
-    for it in lives.iter().filter(|it| it.got.len() >= FEW) {
+    for it in runs.iter().filter(|it| it.got.len() >= FEW) {
         let most = IDLE / it.rate();
         let ends = it.got.iter().copied().chain([it.until]);
         let mut before = it.from;
@@ -153,15 +258,75 @@
 }
 
 impl Spread {
+    /// What is less even than that; nothing if all is as it should be.
+    pub fn misses(&self, even: Even) -> Vec<String> {
+        let mut misses = Vec::new();
+        let second = self.swings.iter().find(|it| it.window == AFTER).map_or(0.0, |it| it.herd);
+        if second > even.herd {
+            misses.push(format!("herd index {second:.2} in windows of a second, over {}", even.herd));
+        }
+        if self.idle > even.idle {
+            misses.push(format!("servers idle for {:.3} of the time, over {}", self.idle, even.idle));
+        }
+        if let Some(it) = &self.compared {
+            let over = it.as_it_was.largest / it.oracle.largest.max(1e-9);
+            if over > even.over_oracle {
+                misses.push(format!("fullest server {over:.2} times an oracle's, over {}", even.over_oracle));
+            }
+        }
+        misses
+    }
+
     /// The lines that are printed.
     pub fn table(&self) -> String {
         let mut text = format!("\nover {} servers          herd index   largest over mean\n", self.servers);
         for it in &self.swings {
             _ = writeln!(text, "set-ups in {:>6} ms {:>13.2} {:>19.1}", it.window, it.herd, it.largest);
         }
+        let after = [
+            ("notes", self.after_notes),
+            ("changes of the list", self.after_changes),
+            ("faults end", self.after_returns),
+        ];
+        for (what, herd) in after.iter().filter_map(|it| Some((it.0, it.1?))) {
+            _ = writeln!(text, "herd index in the second after {what}: {herd:.2}");
+        }
         _ = writeln!(text, "idle for over three mean gaps: {:.3} of the time (chance: 0.050)", self.idle);
-        let (largest, most) = self.standing;
-        _ = writeln!(text, "standing viewings, largest over mean: {largest:.2}, 99th of 100: {most:.2}");
+        if let Some((wasted, all)) = self.wasted {
+            _ = writeln!(text, "turned away: {all}, while another holder had room: {wasted}");
+        }
+        _ = writeln!(
+            text,
+            "\nviewings over link or uplink       fullest  99th of 100  emptiest, over the mean"
+        );
+        let rows = match &self.compared {
+            None => vec![("as it was", self.standing)],
+            Some(it) => vec![
+                ("as it was", it.as_it_was),
+                ("had an oracle picked", it.oracle),
+                ("two picks, fresh loads", it.two_fresh),
+                ("two picks, loads as reported", it.two_old),
+                ("one random pick", it.random),
+            ],
+        };
+        for (name, it) in rows {
+            _ = writeln!(text, "{name:<32} {:>9.2} {:>12.2} {:>9.2}", it.largest, it.most, it.least);
+        }
+        let Times { half, nine_of_ten, most, thousandth } = self.times;
+        _ = writeln!(
+            text,
+            "ms until a viewing plays: half {half:.1}, 90 in 100 {nine_of_ten:.1}, 99 {most:.1}, 99.9 {thousandth:.1}"
+        );
+        if let Some((memory, wakes, cpu)) = self.rest {
+            let memory = memory / 1024.0;
+            _ = writeln!(
+                text,
+                "a manager at rest: {memory:.1} MB, {wakes:.1} wake-ups and {cpu:.2} ms of processor a second"
+            );
+        }
+        if let Some(cpu) = self.cpu_a_set_up {
+            _ = writeln!(text, "processor time of the managers a set-up: {cpu:.2} ms");
+        }
         text
     }
 }
@@ -177,7 +342,18 @@
         let mut lines: Vec<Line> = (0..20)
             .map(|it| {
                 let (server, cold, places) = (format!("s{it:02}"), false, 90.0);
-                Line { at: 0.0, event: Event::ServerStarted { server, cold, places } }
+                Line {
+                    at: 0.0,
+                    event: Event::ServerStarted {
+                        server,
+                        cold,
+                        places,
+                        cell: it,
+                        link_kb: 1.0,
+                        rack: 0,
+                        uplink_kb: 0.0,
+                    },
+                }
             })
             .collect();
         for number in 0..6000 {
@@ -191,7 +367,7 @@
     }
 
     fn herds(lines: &[Line]) -> Vec<f64> {
-        spread(lines).unwrap().swings.iter().map(|it| it.herd).collect()
+        spread(&Terms::default(), lines).unwrap().swings.iter().map(|it| it.herd).collect()
     }
 
     /// Six windows of ten seconds tell less than six hundred.
@@ -206,7 +382,7 @@
     fn independent_picks_are_chance() {
         let even = record(|_, chance| (chance % 20) as usize);
         assert!(is_chance(&even), "{:?}", herds(&even));
-        let idle = spread(&even).unwrap().idle;
+        let idle = spread(&Terms::default(), &even).unwrap().idle;
         assert!((0.02..0.08).contains(&idle), "{idle}");
     }
 
@@ -235,7 +411,7 @@
                     pick
                 }
             });
-            spread(&lines).unwrap().idle
+            spread(&Terms::default(), &lines).unwrap().idle
         };
         assert!(idle(3000) > idle(0) + 0.015, "{} {}", idle(3000), idle(0));
     }
@@ -253,12 +429,12 @@
             lines.extend((0..10).map(|_| Line { at: 0.0, event: event.clone() }));
         }
         lines.sort_by(|a, b| a.at.total_cmp(&b.at));
-        let (largest, most) = spread(&lines).unwrap().standing;
+        let Evenness { largest, most, .. } = spread(&Terms::default(), &lines).unwrap().standing;
         assert!((largest - 30.0 / 11.0).abs() < 0.01 && (most - largest).abs() < 0.01, "{largest} {most}");
     }
 
     #[test]
     fn nothing_set_up_has_no_spread() {
-        assert_eq!(spread(&[]), None);
+        assert_eq!(spread(&Terms::default(), &[]), None);
     }
 }
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,12 +1,12 @@
 //! An experiment: days, seeds and variants of a day's settings, played as a grid. What was played before with the same
 //! settings and version is not played again.
 
-use crate::baseline::{Baseline, Pick};
 use crate::detail::Detail;
 use crate::figures::Figures;
 use crate::model::Model;
 use ottersail_daemon::settings::day::read_day;
 use ottersail_daemon::settings::sheet::Sheet;
+use ottersail_front::baseline::{Baseline, Pick};
 use ottersail_front::Brain;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,7 +1,6 @@
 //! The session manager's library before a modelled fleet and crowd, in simulated time: no sockets, one seed, the same
 //! result each time. The laws of the model and their sources: docs/rehearsal-model.md.
 
-pub mod baseline;
 pub mod compare;
 pub mod crowd;
 pub mod detail;
--- a/standins/src/boxes.rs
+++ b/standins/src/boxes.rs
@@ -330,6 +330,7 @@
         }
         if now >= next_report {
             next_report = now + it.day.reports_every;
+            it.recorder.note(Event::Noted { server: id.to_string() });
             notes.extend(seen.map(|it| (None, Note::Load(Report { delivered: None, ..it }))));
         }
         let idle = |it: &Held| now - it.seen > LEASE;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 mod world;
 
 pub use day::{Day, DayPackage, Fault, FaultKind, Ways, FAR_ENDS, FAULT_KINDS, WAYS};
+pub use list::TITLE_STRIDE;
 pub use players::{run_players, Crowd};
 pub use record::Recorder;
 pub use wires::Behind;
--- a/standins/src/list.rs
+++ b/standins/src/list.rs
@@ -21,9 +21,12 @@
     pub garbled: bool,
     pub behind: f64,
     pub back: f64,
+    titles: Option<String>,
     told: BTreeMap<usize, BTreeMap<String, Told>>,
 }
 
+/// A title begins so many cells after the one before it.
+pub const TITLE_STRIDE: u64 = 7;
 const FIRST_INDEX: usize = 1000;
 
 impl Book {
@@ -34,18 +37,20 @@
         self.changes.sort_by(|a, b| a.0.total_cmp(&b.0));
     }
 
-    fn at(&self, time: f64) -> (usize, Vec<Listed>) {
+    /// The index at that time; the list itself is put together only where it is to be told.
+    fn index(&self, time: f64) -> usize {
+        FIRST_INDEX + self.changes.partition_point(|it| it.0 <= time)
+    }
+
+    fn at(&self, time: f64) -> Vec<Listed> {
         let mut list: BTreeMap<&str, &Listed> = BTreeMap::new();
-        let seen = self.changes.iter().take_while(|it| it.0 <= time);
-        let mut count = 0;
-        for (_, id, entry) in seen {
-            count += 1;
+        for (_, id, entry) in self.changes.iter().take_while(|it| it.0 <= time) {
             match entry {
                 Some(entry) => _ = list.insert(id, entry),
                 None => _ = list.remove(id.as_str()),
             }
         }
-        (FIRST_INDEX + count, list.into_values().cloned().collect())
+        list.into_values().cloned().collect()
     }
 }
 
@@ -102,9 +107,9 @@
                     let it = world.borrow();
                     let time = it.now() - it.book.behind - it.book.back;
                     let back = it.book.back > 0.0;
-                    let (at, list) = it.book.at(time);
+                    let at = it.book.index(time);
                     let news = index.is_none_or(|before| at > before || (back && at < before));
-                    (news || Instant::now() >= deadline).then_some((at, list))
+                    (news || Instant::now() >= deadline).then(|| (at, it.book.at(time)))
                 };
                 if let Some((at, mut list)) = found {
                     let mut it = world.borrow_mut();
@@ -135,7 +140,7 @@
 fn garble(world: &Shared) -> String {
     let mut it = world.borrow_mut();
     let now = it.now();
-    let mut list = it.book.at(now).1;
+    let mut list = it.book.at(now);
     match it.rng.u8(..3) {
         0 => write_servers(&list[..1]).split_off(1),
         1 => {
@@ -172,14 +177,27 @@
     *told = now;
 }
 
+/// They never change: written once.
 fn titles(world: &Shared) -> String {
-    let day = world.borrow().day.clone();
+    let (day, known) = {
+        let it = world.borrow();
+        (it.day.clone(), it.book.titles.clone())
+    };
+    if let Some(text) = known {
+        return text;
+    }
     let mut titles = Vec::new();
     for package in &day.packages {
         for number in 0..day.titles {
             let name = format!("{}-{number}", package.name);
-            titles.push(Title { name, base: (number as u64 * 7) % day.cells.max(1), copies: day.copies });
+            titles.push(Title {
+                name,
+                base: (number as u64 * TITLE_STRIDE) % day.cells.max(1),
+                copies: day.copies,
+            });
         }
     }
-    write_titles(&titles)
+    let text = write_titles(&titles);
+    world.borrow_mut().book.titles = Some(text.clone());
+    text
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -262,7 +262,11 @@
     };
     it.procs.insert(id.to_string(), proc);
     let places = it.day.places;
-    it.recorder.note(Event::ServerStarted { server: id.to_string(), cold, places });
+    let server = it.fleet.servers.get(id);
+    let (cell, link_kb, rack) = server.map_or((0, 0.0, 0), |it| (it.cell, it.link_kb, it.rack));
+    let uplink_kb = it.fleet.uplinks_kb.get(rack).copied().unwrap_or(0.0);
+    let server = id.to_string();
+    it.recorder.note(Event::ServerStarted { server, cold, places, cell, link_kb, rack, uplink_kb });
     drop(it);
     boxes::serve(&nursery, listener, world, id);
 }
