The two holders are drawn by what their links give, where neither is asked first

A manager holds some ten viewings at 200 servers and hears notes only of those; fresh() knows the two picks in few cases, both then look alike (link_seen, usually), and even draws fill small links as fast as large ones.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -333,7 +333,8 @@
         viewing.picks.retain(|it| holders.contains(it));
         if viewing.picks.is_empty() {
             while viewing.picks.len() < 2 && !holders.is_empty() {
-                viewing.picks.push(holders.swap_remove(self.chance.below(holders.len())));
+                let drawn = self.draw_holder(&holders);
+                viewing.picks.push(holders.swap_remove(drawn));
             }
             if viewing.tune_ins.is_empty() && self.inquire(&viewing, out) {
                 return true;
@@ -365,6 +366,18 @@
         true
     }
 
+    /// Most holders a manager has not heard of lately: they are drawn by what they can give.
+    fn draw_holder(&mut self, holders: &[ServerId]) -> usize {
+        let told = |id| if self.terms.reports_on_probe { 1.0 } else { self.link_kb(&self.servers[id]) };
+        let gives: Vec<f64> = holders.iter().map(told).collect();
+        let mut left = self.chance.part() * gives.iter().sum::<f64>();
+        let drawn = gives.iter().position(|it| {
+            left -= it;
+            left < 0.0
+        });
+        drawn.unwrap_or(0)
+    }
+
     /// Where load is told to probes only, what is not known of the two picks is asked first, not for long.
     fn inquire(&mut self, viewing: &Viewing, out: &mut dyn Answers) -> bool {
         let wait = self.now + self.package(viewing).join_target * PROBE_WAIT;
@@ -921,20 +934,6 @@
         uplink.missing.0 * (-((self.now - uplink.missing.1) / (self.note_gap() * TRUST))).exp()
     }
 
-    /// Summed anew once a moment: when thousands come at once, each would go through the whole rack.
-    fn counted(&self, uplink: &Uplink) -> f64 {
-        let (at, mut asked, own) = uplink.counted.get();
-        if at != self.now {
-            let all = uplink.servers.iter().map(|id| &self.servers[id]);
-            let up = all.filter(|it| it.entry.availability == Availability::Up);
-            asked = up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>();
-            uplink.counted.set((self.now, asked, uplink.own.0));
-        } else {
-            asked += uplink.own.0 - own;
-        }
-        asked / self.terms.uplink_kb.max(1.0)
-    }
-
     fn usually(&self, usual: f64, told: f64, own: Own) -> Seen {
         let asked = usual * (1.0 - 1.0 / self.terms.managers.max(1.0)) + own.0 / told.max(1.0);
         Seen { asked, own, at: self.now }
--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -207,4 +207,18 @@
             self.shared.weigh(&next, 1.0);
         }
     }
+
+    /// Summed anew once a moment: when thousands come at once, each would go through the whole rack.
+    pub(super) fn counted(&self, uplink: &Uplink) -> f64 {
+        let (at, mut asked, own) = uplink.counted.get();
+        if at != self.now {
+            let all = uplink.servers.iter().map(|id| &self.servers[id]);
+            let up = all.filter(|it| it.entry.availability == Availability::Up);
+            asked = up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>();
+            uplink.counted.set((self.now, asked, uplink.own.0));
+        } else {
+            asked += uplink.own.0 - own;
+        }
+        asked / self.terms.uplink_kb.max(1.0)
+    }
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -1138,3 +1138,18 @@
     assert_eq!(brain.servers.contains_key(&"s0".into()), kept);
     assert!(brain.servers.contains_key(&"s1".into()));
 }
+
+/// Of two thousand viewings at four holders, one with four times the link of the others, those that it gets. Nothing is
+/// known of any of them; the picks are two, the first of which is taken where both are used alike.
+#[test_case(false, 950..=1200; "load is told by notes: by what they give, 4 in 7")]
+#[test_case(true, 450..=550; "both are asked first: one in four")]
+fn holders_that_were_not_heard_of_are_drawn_by_what_they_give(
+    probes: bool,
+    expected: std::ops::RangeInclusive<usize>,
+) {
+    let mut it = brain(Terms { reports_on_probe: probes, ..terms() }, 4);
+    it.list(&Entry { weight: 4.0, ..entry("s2", 2) });
+    let holders: Vec<ServerId> = (0..4).map(|it| format!("s{it}").as_str().into()).collect();
+    let drawn = (0..2000).filter(|_| it.draw_holder(&holders) == 2).count();
+    assert!(expected.contains(&drawn), "{drawn}");
+}
