--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -144,7 +144,7 @@
                 log: line.log.unwrap_or_else(|| "info".to_string()),
                 keep,
                 cores: usize::from(cores),
-                pick: pick.and_then(|it| it.0),
+                pick: pick.map(|it| it.0),
                 managers: managers.map(usize::from),
                 beside,
                 report,
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -43,7 +43,7 @@
     /// Cores of each manager.
     pub cores: usize,
     /// Managers that pick plainly, and so many of them, in place of the day's own.
-    pub pick: Option<Pick>,
+    pub pick: Option<Option<Pick>>,
     pub managers: Option<usize>,
     /// Another version of the program, for every second manager.
     pub beside: Option<PathBuf>,
@@ -92,7 +92,8 @@
     if let Some(managers) = asked.managers.filter(|it| *it > 0) {
         (plan.day.managers, plan.terms.managers) = (managers, managers as f64);
     }
-    plan.pick = asked.pick.or(plan.pick);
+    plan.pick = asked.pick.unwrap_or(plan.pick);
+    plan.one_seed &= asked.pick.is_none();
     if plan.day.managers > MOST_MANAGERS {
         let line = format!(
             "{}: more than {MOST_MANAGERS} managers: play it with ottersail-lab",
@@ -108,7 +109,7 @@
     let played = play(&plan, asked, &folder, &interrupted).map_err(|it| vec![it]);
     let holds = played.as_ref().is_ok_and(Verdict::holds);
     let kept = std::env::temp_dir().join(format!("ottersail-kept-{}", std::process::id()));
-    if interrupted.load(Ordering::Acquire) || !(asked.keep || !holds) {
+    if interrupted.load(Ordering::Acquire) || (!asked.keep && holds) {
         _ = fs::remove_dir_all(&folder);
     } else if fs::rename(&folder, &kept).is_ok() {
         eprintln!("the managers' files and logs are in {}", kept.display());
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -74,7 +74,7 @@
     let rest = Ms(1e3 * day.number_or("rest-s", 0.0..=60.0, 0.0));
     let pick = day.word_or("pick", PICKS, None);
     let one_seed = day.flag_or("one-seed", false);
-    let even = sheet.sections("even").first().map(|(_, it)| Even {
+    let even = sheet.section_if("even").map(|it| Even {
         herd: it.number("herd", 1.0..=100.0),
         idle: it.number("idle", 0.0..=1.0),
         over_oracle: it.number("over-oracle", 1.0..=100.0),
--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -87,6 +87,11 @@
         Section { sheet: self, part, name }
     }
 
+    /// A section that may be left out.
+    pub fn section_if<'a>(&'a self, name: &'a str) -> Option<Section<'a>> {
+        self.parts.iter().any(|it| it.name == name).then(|| self.section(name))
+    }
+
     /// The sections with that first word, and what comes after it.
     pub fn sections<'a>(&'a self, kind: &'a str) -> Vec<(&'a str, Section<'a>)> {
         let named = |part: &'a Part| {
