--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -78,6 +78,7 @@
         herd: it.number("herd", 1.0..=100.0),
         idle: it.number("idle", 0.0..=1.0),
         over_oracle: it.number("over-oracle", 1.0..=100.0),
+        wakes: it.get("wakes").map(|_| it.number("wakes", 0.1..=1e6)),
     });
     let faults = sheet.sections("fault").iter().map(|(name, it)| fault(name, it)).collect();
     let day = Day {
--- a/judge/src/record.rs
+++ b/judge/src/record.rs
@@ -47,6 +47,9 @@
     pub idle: f64,
     /// Standing viewings at the fullest server over the mean, over what they would be for an oracle.
     pub over_oracle: f64,
+    /// The most that a manager at rest may be woken in a second, where the day has a rest.
+    #[serde(default)]
+    pub wakes: Option<f64>,
 }
 
 /// Title number n of each package lies in `copies` cells from `n x stride` on, counted around all cells.
--- a/judge/src/spread.rs
+++ b/judge/src/spread.rs
@@ -274,6 +274,12 @@
                 misses.push(format!("fullest server {over:.2} times an oracle's, over {}", even.over_oracle));
             }
         }
+        // What hundreds of managers do at rest, a machine does hundreds of times a second.
+        if let (Some(most), Some((_, wakes, _))) = (even.wakes, self.rest) {
+            if wakes > most {
+                misses.push(format!("a manager at rest is woken {wakes:.1} times a second, over {most}"));
+            }
+        }
         misses
     }
 
@@ -433,6 +439,20 @@
         assert!((largest - 30.0 / 11.0).abs() < 0.01 && (most - largest).abs() < 0.01, "{largest} {most}");
     }
 
+    #[test_case(1.0, 0 => 0; "within all bounds")]
+    #[test_case(75.0, 0 => 1; "woken often at rest")]
+    #[test_case(1.0, 100 => 2; "all in step, and most of the servers idle")]
+    fn bounds_that_are_missed_are_told(wakes: f64, together: usize) -> usize {
+        let mut lines = record(
+            |number, chance| if together == 0 { chance as usize % 20 } else { number / together % 20 },
+        );
+        lines.push(Line { at: 1.0, event: Event::Rested { managers: 1, memory_kb: 1.0, wakes, cpu: 0.0 } });
+        lines.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let even = Even { herd: 1.3, idle: 0.1, over_oracle: 0.5, wakes: Some(10.0) };
+        let spread = spread(&Terms::default(), &lines).unwrap();
+        spread.misses(even).len()
+    }
+
     #[test]
     fn nothing_set_up_has_no_spread() {
         assert_eq!(spread(&Terms::default(), &[]), None);
