--- a/judge/src/report.rs
+++ b/judge/src/report.rs
@@ -230,6 +230,7 @@
 mod tests {
     use super::*;
     use crate::judge;
+    use crate::standing::set_up;
 
     #[test]
     fn figures_and_plots_are_written() {
@@ -242,22 +243,8 @@
             });
         }
         for number in 0..40 {
-            let (server, vw) = (if number % 4 == 0 { "a" } else { "b" }.to_string(), format!("v{number}"));
-            let (at, package, title) =
-                (f64::from(number) * 100.0, "clips".to_string(), "clips-1".to_string());
-            let (manager, ask, no, rung) = (0, 0, 0, 0);
-            let event = Event::SetUp {
-                server: server.clone(),
-                manager,
-                ask,
-                vw: vw.clone(),
-                no,
-                title,
-                package,
-                rung,
-            };
-            lines.push(Line { at, event });
-            lines.push(Line { at, event: Event::SetUpAnswered { server, vw, no, status: 201 } });
+            let server = if number % 4 == 0 { "a" } else { "b" };
+            lines.extend(set_up((server, &format!("v{number}"), "clips-1"), f64::from(number) * 100.0, 201));
         }
         let terms = Terms { rates_kb: vec![10.0], ..Terms::default() };
         let series = series(&terms, &lines).unwrap();
--- a/judge/src/standing.rs
+++ b/judge/src/standing.rs
@@ -246,6 +246,17 @@
     pub least: f64,
 }
 
+/// Lines for tests: a set-up, and its answer.
+#[cfg(test)]
+pub(crate) fn set_up((server, vw, title): (&str, &str, &str), at: f64, status: u16) -> [Line; 2] {
+    let (server, vw, title, package) =
+        (server.to_string(), vw.to_string(), title.to_string(), "clips".into());
+    let (manager, ask, no, rung) = (0, 0, 0, 0);
+    let event =
+        Event::SetUp { server: server.clone(), manager, ask, vw: vw.clone(), no, title, package, rung };
+    [Line { at, event }, Line { at, event: Event::SetUpAnswered { server, vw, no, status } }]
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -274,21 +285,8 @@
         for number in 0..3000 {
             let (server, vw, title) =
                 (format!("s{}", at(number)), format!("v{number}"), format!("t-{number}"));
-            let package = "clips".to_string();
             let begins = number as f64 * 10.0;
-            let event = Event::SetUp {
-                server: server.clone(),
-                manager: 0,
-                ask: 0,
-                vw: vw.clone(),
-                no: 0,
-                title,
-                package,
-                rung: 0,
-            };
-            lines.push(Line { at: begins, event });
-            let event = Event::SetUpAnswered { server: server.clone(), vw: vw.clone(), no: 0, status: 201 };
-            lines.push(Line { at: begins, event });
+            lines.extend(set_up((&server, &vw, &title), begins, 201));
             lines.push(Line { at: begins + 10_000.0, event: Event::Ended { server, vw } });
         }
         lines.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -309,26 +307,7 @@
     #[test]
     fn who_is_turned_away_while_another_holder_has_room_is_wasted() {
         let mut lines = record(|it| it % 10);
-        let refused = |vw: &str, title: &str| {
-            let (server, vw, title, package) =
-                ("s0".to_string(), vw.to_string(), title.to_string(), "clips".into());
-            let (ask, manager, no, rung) = (0, 0, 0, 0);
-            let event = Event::SetUp {
-                server: server.clone(),
-                manager,
-                ask,
-                vw: vw.clone(),
-                no,
-                title,
-                package,
-                rung,
-            };
-            [
-                Line { at: 50.0, event },
-                Line { at: 51.0, event: Event::SetUpAnswered { server, vw, no, status: 503 } },
-            ]
-        };
-        lines.extend(refused("x", "t-0"));
+        lines.extend(set_up(("s0", "x", "t-0"), 50.0, 503));
         lines.sort_by(|a, b| a.at.total_cmp(&b.at));
         let stays = Stays::of(&Terms::default(), &lines).unwrap();
         assert_eq!(stays.wasted(TITLES, &lines), (1, 1));
