The drill's wire: values, replies and instances in files of their own

Reading values is wire/values.rs, writing answers wire/reply.rs, instances and their events wire/host.rs; wire.rs keeps batches. No line of code is changed, only moved.

--- /dev/null
+++ b/drill/src/wire/host.rs
@@ -0,0 +1,216 @@
+//! Instances of the module, and the events told to each.
+
+use super::reply::Reply;
+use super::values::{bytes, hint, ms, outcome, wanted, Read, Values};
+use ottersail::answers::Answers;
+use ottersail::brain::Brain;
+use ottersail::ids::{BellTag, Rung, TenantIx, TuneInNo};
+use ottersail::state::{Entry, ListMode, Topic, Wish};
+use ottersail::time::Ms;
+use ottersail_platform::load::load;
+use ottersail_platform::terms::read_terms;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+
+const EVENTS: [&str; 12] = [
+    "BORN",
+    "CRASH_NOW",
+    "MEMBERS",
+    "INCOMING",
+    "PREEXISTING",
+    "CHANGE",
+    "BELL",
+    "FIRST",
+    "ANSWER",
+    "DROPPED",
+    "ECHO",
+    "DATAGRAM",
+];
+
+#[derive(Default)]
+pub struct Host {
+    brains: BTreeMap<String, Brain>,
+    ever_born: BTreeSet<String>,
+    pub sheets: BTreeMap<u64, Rc<[Entry]>>,
+}
+
+impl Host {
+    /// Carries out one event; the module's panic becomes a PANIC line.
+    pub fn event<W: Write>(&mut self, name: &str, mut values: Values, now: Ms, to: &mut W) -> Read<()> {
+        if !EVENTS.contains(&name) {
+            return wanted(name, "a known event");
+        }
+        let instance = values.text("manager-id")?;
+        let mut reply = Reply { to, instance, failed: false };
+        let told = catch_unwind(AssertUnwindSafe(|| self.tell(name, values, now, instance, &mut reply)));
+        if reply.failed {
+            return Err("the reply could not be written to standard output".to_string());
+        }
+        told.unwrap_or_else(|panic| {
+            let what = panic.downcast_ref::<&str>().copied();
+            let what = what.or(panic.downcast_ref::<String>().map(String::as_str)).unwrap_or("unknown cause");
+            reply.line("PANIC", format_args!(" {}", what.replace('\n', " ")));
+            Ok(())
+        })
+    }
+
+    fn tell(
+        &mut self,
+        name: &str,
+        mut values: Values,
+        now: Ms,
+        instance: &str,
+        out: &mut dyn Answers,
+    ) -> Read<()> {
+        if name == "BORN" {
+            let seed = values.number("salt")?;
+            let conf = values.remainder("conf")?;
+            let conf = serde_json::from_str(conf)
+                .or_else(|trouble| wanted(conf, &format!("a settings object ({trouble})")))?;
+            self.ever_born.insert(instance.to_string());
+            self.brains.insert(instance.to_string(), Brain::born(now, seed, read_terms(&conf), out));
+            return Ok(());
+        }
+        if name == "CRASH_NOW" {
+            values.end()?;
+            if !self.ever_born.contains(instance) {
+                return wanted(instance, "an instance that was born");
+            }
+            self.brains.remove(instance);
+            return Ok(());
+        }
+        let Some(brain) = self.brains.get_mut(instance) else {
+            return wanted(instance, "an instance that was born");
+        };
+        match name {
+            "MEMBERS" => {
+                let mode = match values.text("mode")? {
+                    "INCREMENTAL" => ListMode::Incremental,
+                    "FULL" => ListMode::Full,
+                    "SAVED" => ListMode::Saved,
+                    "FAILED" => ListMode::Failed,
+                    other => return wanted(other, "a list mode"),
+                };
+                values.optional::<u64>("serial")?;
+                let sheet = values.optional::<u64>("sheet")?;
+                values.end()?;
+                if mode == ListMode::Failed {
+                    brain.members(now, mode, &[], out);
+                } else {
+                    match sheet.and_then(|sheet| self.sheets.get(&sheet)) {
+                        Some(entries) => brain.members(now, mode, entries, out),
+                        None => return wanted(&format!("{sheet:?}"), "a sheet that was registered"),
+                    }
+                }
+            }
+            "INCOMING" => {
+                let vw = values.text("handle")?.into();
+                let best = Rung(values.number("best-rung")?);
+                let bits = values.optional::<u64>("bits")?;
+                let lasts = hint(bits, values.optional::<i64>("expected-ns")?);
+                let owner = values.text("owner")?;
+                let base = values.number("base")?;
+                let title = values.text("item")?.into();
+                let due = values.clock("due-ns")?;
+                let priority = values.text("priority")?;
+                let copies = values.number("cells-in-row")?;
+                values.text("key")?;
+                values.end()?;
+                let Some(package) = brain.package_named(priority) else {
+                    return wanted(priority, "a class of the settings");
+                };
+                let tenant = tenant(brain, owner);
+                brain.incoming(now, Wish { vw, package, tenant, title, base, copies, best, due, lasts }, out);
+            }
+            "PREEXISTING" => {
+                let vw = values.text("handle")?.into();
+                let priority = values.text("priority")?;
+                let owner = values.text("owner")?;
+                values.text("item")?;
+                let title = values.text("title")?.into();
+                let due = values.optional::<i64>("due-ns")?.map_or(Ms::LONG_AGO, ms);
+                let expected = values.optional::<i64>("expected-ns")?;
+                let base = values.number("base")?;
+                let copies = values.number("cells-in-row")?;
+                let best = Rung(values.number("best-rung")?);
+                let lasts = hint(values.optional::<u64>("bits")?, expected);
+                let server = values.text("server")?.into();
+                values.end()?;
+                let Some(package) = brain.package_named(priority) else {
+                    return wanted(priority, "a class of the settings");
+                };
+                let tenant = tenant(brain, owner);
+                let wish = Wish { vw, package, tenant, title, base, copies, best, due, lasts };
+                brain.preexisting(now, wish, server, out);
+            }
+            "CHANGE" => {
+                let vw = values.text("handle")?.into();
+                values.optional::<u64>("leg")?;
+                let value = values.number("value")?;
+                let topic = match values.number::<u64>("topic")? {
+                    1 => Some(Topic::ShareDelivered),
+                    2 => Some(Topic::RungInForce),
+                    3 => Some(Topic::LinkAsked),
+                    4 => Some(Topic::UplinkAsked),
+                    _ => None,
+                };
+                let server = values.text("server")?.into();
+                values.end()?;
+                if let Some(topic) = topic {
+                    brain.change(now, &vw, topic, value, &server, out);
+                }
+            }
+            "BELL" => {
+                let tag = BellTag(values.number("tag")?);
+                values.end()?;
+                brain.bell(now, tag, out);
+            }
+            "FIRST" => {
+                let vw = values.text("handle")?.into();
+                values.optional::<i64>("elapsed-ns")?;
+                values.optional::<u64>("leg")?;
+                let server = values.text("server")?.into();
+                values.end()?;
+                brain.first(now, &vw, &server, out);
+            }
+            "ANSWER" => {
+                let vw = values.text("handle")?.into();
+                let no = TuneInNo(values.number("leg")?);
+                let server = values.text("server")?.into();
+                let ending = outcome(values.text("ending")?)?;
+                values.optional::<i64>("elapsed-ns")?;
+                let last = values.optional::<u8>("last")? == Some(1);
+                let load = load(values.text("load")?)?;
+                values.end()?;
+                brain.answer(now, &vw, no, &server, ending, last, load, out);
+            }
+            "DROPPED" => {
+                let vw = values.text("handle")?.into();
+                values.end()?;
+                brain.dropped(now, &vw, out);
+            }
+            "ECHO" => {
+                let server = values.text("server")?.into();
+                let ending = outcome(values.text("ending")?)?;
+                values.optional::<i64>("elapsed-ns")?;
+                let load = load(values.text("load")?)?;
+                values.end()?;
+                brain.echo(now, &server, ending, load, out);
+            }
+            "DATAGRAM" => {
+                // The managers of this module tell each other nothing; a message is only checked.
+                values.number::<u64>("author")?;
+                bytes(values.text("payload")?)?;
+                values.end()?;
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn tenant(brain: &Brain, owner: &str) -> Option<TenantIx> {
+    brain.tenant_named(owner)
+}
--- /dev/null
+++ b/drill/src/wire/reply.rs
@@ -0,0 +1,57 @@
+//! The module's answers as lines.
+
+use ottersail::answers::Answers;
+use ottersail::ids::{BellTag, Rung, ServerId, ViewingId};
+use ottersail::time::Ms;
+use std::io::Write;
+
+/// Writes each answer as a line of the reply.
+pub struct Reply<'a, W: Write> {
+    pub to: &'a mut W,
+    pub instance: &'a str,
+    pub failed: bool,
+}
+
+impl<W: Write> Reply<'_, W> {
+    pub fn line(&mut self, action: &str, values: std::fmt::Arguments) {
+        self.failed |= writeln!(self.to, "{action} {}{values}", self.instance).is_err();
+    }
+}
+
+impl<W: Write> Answers for Reply<'_, W> {
+    fn relay(&mut self, vw: &ViewingId, server: &ServerId, time_out: Ms) {
+        let cap = (time_out.0 * 1e6).floor().max(1.0) as i64;
+        self.line("RELAY", format_args!(" {vw} {cap} {server}"));
+    }
+
+    fn step_to(&mut self, vw: &ViewingId, rung: Rung) {
+        self.line("STEP_TO", format_args!(" {vw} {}", rung.0));
+    }
+
+    fn shed(&mut self, vw: &ViewingId, stay_away: Option<Ms>) {
+        match stay_away {
+            Some(span) => {
+                let ns = (span.0 * 1e6).floor() as i64;
+                self.line("SHED", format_args!(" {vw} {ns}"));
+            }
+            None => self.line("SHED", format_args!(" {vw} -")),
+        }
+    }
+
+    fn abort(&mut self, vw: &ViewingId) {
+        self.line("ERROR", format_args!(" {vw}"));
+    }
+
+    fn schedule(&mut self, tag: BellTag, at: Ms) {
+        let ns = (at.0 * 1e6).ceil() as i64;
+        self.line("SCHEDULE", format_args!(" {} {ns}", tag.0));
+    }
+
+    fn subscribe(&mut self) {
+        self.line("SUBSCRIBE", format_args!(" 1"));
+    }
+
+    fn inspect(&mut self, server: &ServerId) {
+        self.line("INSPECT", format_args!(" {server}"));
+    }
+}
