--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod detail;
 pub mod experiment;
 pub mod figures;
+pub mod grid;
 pub mod links;
 pub mod model;
 pub mod player;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,8 +3,9 @@
 use clap::{Parser, Subcommand};
 use ottersail_daemon::settings::day::read_day;
 use ottersail_lab::compare::compare;
-use ottersail_lab::experiment::{self, results, results_of, variants, Experiment};
+use ottersail_lab::experiment::Experiment;
 use ottersail_lab::figures::Figures;
+use ottersail_lab::grid::{self, results, results_of, variants};
 use ottersail_lab::model::Model;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -88,10 +89,10 @@
 }
 
 fn run(experiment: &Path, out: Option<PathBuf>, threads: Option<usize>) -> Done {
-    let grid = Experiment::read(experiment)?;
+    let wanted = Experiment::read(experiment)?;
     let out = out.unwrap_or_else(|| results_of(experiment));
     let threads = threads.or_else(|| std::thread::available_parallelism().ok().map(usize::from)).unwrap_or(1);
-    let all = experiment::run(&grid, &out, threads).map_err(|it| vec![it])?;
+    let all = grid::run(&wanted, &out, threads).map_err(|it| vec![it])?;
     println!(
         "{:<32} {:>5} {:>7} {:>8} {:>8} {:>7} {:>9} {:>7}",
         "variant", "runs", "value", "watched", "blocked", "short", "stalled s", "fell"
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -2,7 +2,8 @@
 
 use crate::compare::{compare, MEASURES};
 use crate::detail::{Band, Detail, Span};
-use crate::experiment::{variants, Outcome};
+use crate::experiment::Outcome;
+use crate::grid::variants;
 use plotters::prelude::*;
 use std::fmt::Write;
 
--- a/lab/tests/grid.rs
+++ b/lab/tests/grid.rs
@@ -1,7 +1,8 @@
 //! An experiment as a grid: what is played, kept, taken up again, and that it repeats.
 
 use ottersail_lab::compare::compare;
-use ottersail_lab::experiment::{results, run, variants, Experiment};
+use ottersail_lab::experiment::Experiment;
+use ottersail_lab::grid::{results, run, variants};
 use std::path::{Path, PathBuf};
 
 fn small() -> Experiment {
