The bench's load, fleet, manager and published keys in files of their own

The open-loop load is load.rs, servers and list fleet.rs, the manager in a process of its own managing.rs, reads of what is published published.rs. Lines are moved, not changed.

--- /dev/null
+++ b/bench/src/fleet.rs
@@ -0,0 +1,75 @@
+//! Servers that say yes to all, and their list.
+
+use crate::library::{listed, titles, PLAYLIST};
+use crate::managing::until;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use ottersail_net::{
+    block_on, executor, flowing, serve, whole, Body, Limits, Listener, Nursery, Server, Timer,
+};
+use ottersail_wire::catalogue::{write_servers, write_titles, INDEX_HEADER};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+const LIMITS: Limits = Limits { connections: 60_000, head: Duration::from_secs(60) };
+
+type Sender = async_channel::Sender<bytes::Bytes>;
+
+/// All servers on one thread, each on a socket of its own; and their list.
+pub fn fleet(servers: usize, ready: mpsc::Sender<SocketAddr>, stopped: mpsc::Receiver<()>) {
+    let exec = executor();
+    let nursery = Nursery::new(exec);
+    let open = || Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
+    let mut rows = Vec::new();
+    for ix in 0..servers {
+        let listener = open();
+        rows.push(listed(ix, listener.get_ref().local_addr().expect("an address").to_string()));
+        let streams: Rc<RefCell<Vec<_>>> = Rc::default();
+        let alive = streams.clone();
+        nursery.spawn(async move {
+            loop {
+                Timer::after(Duration::from_secs(1)).await;
+                let sign = |it: &Sender| it.try_send(":\n\n".into()).is_ok();
+                alive.borrow_mut().retain(sign);
+            }
+        });
+        let handler = move |request: Request<Incoming>, _| {
+            let streams = streams.clone();
+            async move {
+                if request.uri().path() == "/notes" {
+                    let (sender, body) = flowing(4);
+                    _ = sender.try_send(":\n\n".into());
+                    streams.borrow_mut().push(sender);
+                    return Response::new(body);
+                }
+                let mut response: Response<Body> = Response::new(whole(PLAYLIST));
+                if request.method() == Method::PUT {
+                    *response.status_mut() = StatusCode::CREATED;
+                }
+                response
+            }
+        };
+        nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
+    }
+    let listener = open();
+    let address = listener.get_ref().local_addr().expect("an address");
+    let (list, titles) = (write_servers(&rows), write_titles(&titles(servers)));
+    let handler = move |request: Request<Incoming>, _| {
+        let text = if request.uri().path().contains("health") { list.clone() } else { titles.clone() };
+        async move {
+            if request.uri().query().is_some_and(|it| it.contains("index=")) {
+                Timer::after(Duration::from_secs(50)).await;
+            }
+            let mut response = Response::new(whole(text));
+            response.headers_mut().insert(INDEX_HEADER, 1.into());
+            response
+        }
+    };
+    nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
+    _ = ready.send(address);
+    block_on(exec.run(until(stopped)));
+    nursery.end();
+}
--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -1,28 +1,13 @@
 //! One manager in a process of its own, servers and list on a thread here, an open-loop load on two more: arrivals do
 //! not wait for answers, and a time to the answer counts from when the request was due.
 
-use crate::library::{keys, listed, manager, titles, PLAYLIST, TITLES};
-use crate::timed::Timed;
-use hdrhistogram::Histogram;
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
-use ottersail_daemon::run::{house, start};
-use ottersail_front::baseline::{Baseline, Pick};
-use ottersail_front::decisions::Decisions;
-use ottersail_front::{Brain, Front, Ms};
-use ottersail_net::{
-    block_on, executor, flowing, serve, whole, Body, Client, Clock, Limits, Listener, Nursery, Server, Timer,
-};
-use ottersail_wire::catalogue::{write_servers, write_titles, INDEX_HEADER};
-use rustix::time::{clock_gettime, ClockId};
-use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpListener};
+use crate::fleet::fleet;
+use crate::load::{histogram, load, load_once};
+use std::net::TcpListener;
 use std::process::{Command, Stdio};
-use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
-const LIMITS: Limits = Limits { connections: 60_000, head: Duration::from_secs(60) };
 const BOUND_MS: f64 = 50.0;
 
 /// What a run at one rate showed: milliseconds, counts, and microseconds a set-up of the manager's thread in all, in
@@ -87,7 +72,7 @@
     let program = std::env::current_exe().ok()?;
     let arguments =
         [pick.to_string(), rate.to_string(), seconds.to_string(), servers.to_string(), cores.to_string()];
-    let output = std::process::Command::new(program).arg("at-rate").args(arguments).output().ok()?;
+    let output = Command::new(program).arg("at-rate").args(arguments).output().ok()?;
     let text = String::from_utf8_lossy(&output.stdout);
     let figures: Vec<f64> = text.split_whitespace().filter_map(|it| it.parse().ok()).collect();
     let shown = Shown::of(&figures);
@@ -111,12 +96,6 @@
     );
 }
 
-/// Of all threads of this process.
-fn cpu() -> Duration {
-    let time = clock_gettime(ClockId::ProcessCPUTime);
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-}
-
 fn run(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Shown {
     let (ready, is_ready) = mpsc::channel();
     let (stop_servers, stopped) = mpsc::channel();
@@ -170,162 +149,3 @@
         decisions,
     }
 }
-
-fn histogram() -> Histogram<u64> {
-    Histogram::new_with_bounds(1, 60_000_000, 3).expect("good bounds")
-}
-
-/// Until the sending half is dropped.
-async fn until(stopped: mpsc::Receiver<()>) {
-    while stopped.try_recv() != Err(mpsc::TryRecvError::Disconnected) {
-        Timer::after(Duration::from_millis(20)).await;
-    }
-}
-
-/// A manager until its input ends; then microseconds of CPU a set-up, in all, in its front, in the decisions, and how
-/// many viewings it holds, on standard output.
-pub fn manage(pick: &str, servers: usize, cores: usize, address: &str, list: &str) {
-    ottersail_daemon::run::raise_files(0);
-    let mut manager = manager(servers, address, list, 2_000_000.0);
-    manager.cores = cores;
-    let clock = Clock::start();
-    let exec = executor();
-    let spent: Rc<Cell<Duration>> = Rc::default();
-    let (timed, random) = (spent.clone(), pick == "random");
-    let front = Front::with(
-        Ms(clock.now()),
-        manager.terms.clone(),
-        house(&manager, keys()),
-        &mut ottersail_daemon::run::NoOrders,
-        move |terms, out| {
-            let of: Box<dyn Decisions> = if random {
-                Box::new(Baseline::new(terms, Pick::LowestRung, 1))
-            } else {
-                Box::new(Brain::born(Ms(clock.now()), 1, terms, out))
-            };
-            Box::new(Timed { of, spent: timed })
-        },
-    );
-    let running = start(exec, clock, &manager, keys(), front, None).expect("the manager starts");
-    let (stop, stopped) = mpsc::channel::<()>();
-    std::thread::spawn(move || {
-        _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
-        drop(stop);
-    });
-    let before = cpu();
-    block_on(exec.run(until(stopped)));
-    let owner = &running.owner;
-    let (held, count) = owner.front(|it| (it.viewings(), it.counts().asked.max(1)));
-    let each = |it: Duration| it.as_secs_f64() * 1e6 / count as f64;
-    println!("{} {} {} {held}", each(cpu() - before), each(owner.spent.get()), each(spent.get()));
-}
-
-type Sender = async_channel::Sender<bytes::Bytes>;
-
-/// All servers on one thread, each on a socket of its own; and their list.
-fn fleet(servers: usize, ready: mpsc::Sender<SocketAddr>, stopped: mpsc::Receiver<()>) {
-    let exec = executor();
-    let nursery = Nursery::new(exec);
-    let open = || Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
-    let mut rows = Vec::new();
-    for ix in 0..servers {
-        let listener = open();
-        rows.push(listed(ix, listener.get_ref().local_addr().expect("an address").to_string()));
-        let streams: Rc<RefCell<Vec<_>>> = Rc::default();
-        let alive = streams.clone();
-        nursery.spawn(async move {
-            loop {
-                Timer::after(Duration::from_secs(1)).await;
-                let sign = |it: &Sender| it.try_send(":\n\n".into()).is_ok();
-                alive.borrow_mut().retain(sign);
-            }
-        });
-        let handler = move |request: Request<Incoming>, _| {
-            let streams = streams.clone();
-            async move {
-                if request.uri().path() == "/notes" {
-                    let (sender, body) = flowing(4);
-                    _ = sender.try_send(":\n\n".into());
-                    streams.borrow_mut().push(sender);
-                    return Response::new(body);
-                }
-                let mut response: Response<Body> = Response::new(whole(PLAYLIST));
-                if request.method() == Method::PUT {
-                    *response.status_mut() = StatusCode::CREATED;
-                }
-                response
-            }
-        };
-        nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
-    }
-    let listener = open();
-    let address = listener.get_ref().local_addr().expect("an address");
-    let (list, titles) = (write_servers(&rows), write_titles(&titles(servers)));
-    let handler = move |request: Request<Incoming>, _| {
-        let text = if request.uri().path().contains("health") { list.clone() } else { titles.clone() };
-        async move {
-            if request.uri().query().is_some_and(|it| it.contains("index=")) {
-                Timer::after(Duration::from_secs(50)).await;
-            }
-            let mut response = Response::new(whole(text));
-            response.headers_mut().insert(INDEX_HEADER, 1.into());
-            response
-        }
-    };
-    nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
-    _ = ready.send(address);
-    block_on(exec.run(until(stopped)));
-    nursery.end();
-}
-
-fn load_once(address: SocketAddr) -> bool {
-    let exec = executor();
-    let client = Client::new(exec, Duration::from_millis(200), 0, Duration::ZERO);
-    let to = address.to_string();
-    let ask = client.exchange(&to, Client::request(Method::GET, &to, "/ready"), 1 << 16, || true);
-    block_on(exec.run(ask)).is_ok_and(|it| it.status == StatusCode::OK)
-}
-
-/// Arrivals by chance at that rate; times from when each was due.
-fn load(address: SocketAddr, rate: f64, seconds: f64, seed: u64) -> (Histogram<u64>, u64, u64) {
-    let exec = executor();
-    let client = Rc::new(Client::new(exec, Duration::from_secs(2), 4096, Duration::from_secs(30)));
-    let shared = Rc::new(RefCell::new((histogram(), 0u64, 0u64)));
-    let out = Rc::new(Cell::new(0usize));
-    let mut rng = fastrand::Rng::with_seed(seed);
-    block_on(exec.run(async {
-        let began = Instant::now();
-        let mut at = began;
-        while at < began + Duration::from_secs_f64(seconds) {
-            at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
-            if at > Instant::now() {
-                Timer::at(at).await;
-            }
-            let (client, shared, out, due) = (client.clone(), shared.clone(), out.clone(), at);
-            let path = format!("/watch/t-{}?package=clips&best=3&patience-ms=4000", rng.usize(..TITLES));
-            out.set(out.get() + 1);
-            exec.spawn(async move {
-                let to = address.to_string();
-                let answer =
-                    client.exchange(&to, Client::request(Method::GET, &to, &path), 1 << 16, || true).await;
-                let mut it = shared.borrow_mut();
-                match answer {
-                    Ok(answer) => {
-                        it.0.saturating_record(due.elapsed().as_micros() as u64);
-                        it.1 += u64::from(answer.status != StatusCode::OK);
-                    }
-                    Err(_) => it.2 += 1,
-                }
-                out.set(out.get() - 1);
-            })
-            .detach();
-        }
-        let end = Instant::now() + Duration::from_secs(6);
-        while out.get() > 0 && Instant::now() < end {
-            Timer::after(Duration::from_millis(10)).await;
-        }
-    }));
-    let lost = out.get() as u64;
-    let it = shared.borrow();
-    (it.0.clone(), it.1, it.2 + lost)
-}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,7 +1,11 @@
 //! Measures the session manager. Figures hold for the machine that they were taken on; compare within one run.
 
+mod fleet;
 mod library;
+mod load;
 mod loopback;
+mod managing;
+mod published;
 mod queue;
 mod shared;
 mod timed;
@@ -66,11 +70,11 @@
             loopback::at_rate(&pick, rate, seconds, servers, cores);
         }
         What::Manage { pick, servers, cores, address, list } => {
-            loopback::manage(&pick, servers, cores, &address, &list);
+            managing::manage(&pick, servers, cores, &address, &list);
         }
         What::Decision { held } => library::decision(&held),
         What::Front => shared::front(),
-        What::Published => shared::published(),
+        What::Published => published::measure(),
         What::Queue { pending } => queue::measure(&pending),
         What::Memory { viewings } => library::memory(&viewings),
     }
