Errors of platform and drill are types that say what is wrong, where, and what to try

What could not be read of the start, the channel's events, a load report or the drill's wire was told as a String made at the place, with a field at best; of a list's entry not even which one.

ConfigError, EventsError and LoadError (platform/src/errors.rs), Flaw and WireError (drill/src/wire/errors.rs) name the field by its whole way, as cmds[1].nodes.hosts[0].health, the pair of a load report, or the line of the input, and end with what an operator can try. What the wire and the node answer is as it was; only texts on standard error and in the log are longer. A reply that can't be written now tells its cause, too.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,9 +1,11 @@
 //! The wire: positional text lines, batches from MARK to FLUSH, one reply for each.
 
+mod errors;
 mod host;
 mod reply;
 mod values;
 
+use errors::{Flaw, WireError};
 use host::Host;
 use ottersail::time::Ms;
 use std::io::{BufRead, Write};
@@ -23,14 +25,14 @@
         match self.input.read_line(&mut self.line) {
             Ok(0) => Ok(None),
             Ok(_) => Ok(Some(self.line.trim_end_matches(['\n', '\r']))),
-            Err(trouble) => Err(format!("the line could not be read: {trouble}")),
+            Err(trouble) => Err(Flaw::Input(trouble)),
         }
     }
 }
 
-pub fn serve<R: BufRead, W: Write>(input: R, to: &mut W) -> Read<()> {
+pub fn serve<R: BufRead, W: Write>(input: R, to: &mut W) -> Result<(), WireError> {
     let mut lines = Lines { input, count: 0, line: String::new() };
-    batches(&mut lines, to).map_err(|trouble| format!("line {}: {trouble}", lines.count))
+    batches(&mut lines, to).map_err(|what| WireError { line: lines.count, what })
 }
 
 fn batches<R: BufRead, W: Write>(lines: &mut Lines<R>, to: &mut W) -> Read<()> {
@@ -55,7 +57,7 @@
             ("FLUSH", Some(_)) => {
                 values.end()?;
                 let written = to.write_all(b"FINISHED\n").and_then(|()| to.flush());
-                written.map_err(|trouble| format!("the reply could not be written: {trouble}"))?;
+                written.map_err(Flaw::Output)?;
                 clock = None;
             }
             ("REGISTER", Some(_)) => {
--- a/drill/src/wire/host.rs
+++ b/drill/src/wire/host.rs
@@ -1,5 +1,6 @@
 //! Instances of the module, and the events told to each.
 
+use super::errors::Flaw;
 use super::reply::Reply;
 use super::values::{bytes, hint, ms, outcome, wanted, Read, Values};
 use ottersail::answers::Answers;
@@ -7,6 +8,7 @@
 use ottersail::ids::{BellTag, Rung, TenantIx, TuneInNo};
 use ottersail::state::{Entry, ListMode, Topic, Wish};
 use ottersail::time::Ms;
+use ottersail_platform::errors::shown;
 use ottersail_platform::load::load;
 use ottersail_platform::terms::read_terms;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,10 +45,10 @@
             return wanted(name, "a known event");
         }
         let instance = values.text("manager-id")?;
-        let mut reply = Reply { to, instance, failed: false };
+        let mut reply = Reply { to, instance, failed: None };
         let told = catch_unwind(AssertUnwindSafe(|| self.tell(name, values, now, instance, &mut reply)));
-        if reply.failed {
-            return Err("the reply could not be written to standard output".to_string());
+        if let Some(trouble) = reply.failed {
+            return Err(Flaw::Output(trouble));
         }
         told.unwrap_or_else(|panic| {
             let what = panic.downcast_ref::<&str>().copied();
@@ -67,8 +69,8 @@
         if name == "BORN" {
             let seed = values.number("salt")?;
             let conf = values.remainder("conf")?;
-            let conf = serde_json::from_str(conf)
-                .or_else(|trouble| wanted(conf, &format!("a settings object ({trouble})")))?;
+            let conf =
+                serde_json::from_str(conf).map_err(|source| Flaw::Settings { read: shown(conf), source })?;
             self.ever_born.insert(instance.to_string());
             self.brains.insert(instance.to_string(), Brain::born(now, seed, read_terms(&conf), out));
             return Ok(());
--- a/drill/src/wire/reply.rs
+++ b/drill/src/wire/reply.rs
@@ -3,18 +3,21 @@
 use ottersail::answers::Answers;
 use ottersail::ids::{BellTag, Rung, ServerId, ViewingId};
 use ottersail::time::Ms;
-use std::io::Write;
+use std::io::{self, Write};
 
 /// Writes each answer as a line of the reply.
 pub struct Reply<'a, W: Write> {
     pub to: &'a mut W,
     pub instance: &'a str,
-    pub failed: bool,
+    /// Why a line could not be written: the first cause.
+    pub failed: Option<io::Error>,
 }
 
 impl<W: Write> Reply<'_, W> {
     pub fn line(&mut self, action: &str, values: std::fmt::Arguments) {
-        self.failed |= writeln!(self.to, "{action} {}{values}", self.instance).is_err();
+        if let Err(trouble) = writeln!(self.to, "{action} {}{values}", self.instance) {
+            self.failed.get_or_insert(trouble);
+        }
     }
 }
 
--- a/drill/src/wire/tests.rs
+++ b/drill/src/wire/tests.rs
@@ -8,7 +8,7 @@
     REGISTER 0 1\nM k 0 U 10.0.0.1:80 - 1 z\nMEMBERS manager-1 SAVED 1 0\n";
 const ASK: &str = "INCOMING manager-1 v1 0 0 - 0 0 title 4000000001 c 1 -\n";
 
-fn reply_to(input: &str) -> Result<String, String> {
+fn reply_to(input: &str) -> Result<String, WireError> {
     let mut to = Vec::new();
     serve(input.as_bytes(), &mut to)?;
     Ok(String::from_utf8(to).unwrap())
@@ -16,7 +16,7 @@
 
 #[test]
 fn an_empty_batch_is_answered() {
-    assert_eq!(reply_to("MARK 5\nFLUSH\n"), Ok("FINISHED\n".into()));
+    assert_eq!(reply_to("MARK 5\nFLUSH\n").unwrap(), "FINISHED\n");
 }
 
 #[test]
@@ -53,7 +53,7 @@
 #[test_case("MARK 1\nREGISTER 0 2\nM k 0 U a:1 - 1 z\n", "line 4: read 'the end of input', expected a list entry"; "short list")]
 #[test_case("MARK 1\nREGISTER 0 1\nM k 0 Q a:1 - 1 z\nFLUSH\n", "line 3: read 'Q', expected U, L or D"; "availability")]
 fn bad_input_gets_one_plain_line(input: &str, expected: &str) {
-    let told = reply_to(input).unwrap_err();
+    let told = reply_to(input).unwrap_err().to_string();
     assert!(told.starts_with(expected), "{told}");
     assert_eq!(told.lines().count(), 1);
 }
@@ -64,6 +64,6 @@
 #[test_case("SING manager-1", "read 'SING', expected a known event"; "unknown event")]
 #[test_case("ANSWER manager-1 v 0 s lost 1 1 -", "read 'lost', expected an outcome"; "outcome")]
 fn bad_events_for_an_instance_are_named(line: &str, expected: &str) {
-    let told = reply_to(&format!("MARK 0\n{BORN}{line}\nFLUSH\n")).unwrap_err();
+    let told = reply_to(&format!("MARK 0\n{BORN}{line}\nFLUSH\n")).unwrap_err().to_string();
     assert!(told.contains(expected) && told.starts_with("line 6: "), "{told}");
 }
--- a/drill/src/wire/values.rs
+++ b/drill/src/wire/values.rs
@@ -1,15 +1,16 @@
 //! The values of a line, and what is told where one can't be read.
 
+use super::errors::Flaw;
 use ottersail::ids::Cell;
 use ottersail::state::{Availability, Entry, Outcome};
 use ottersail::time::Ms;
+use ottersail_platform::errors::shown;
 use std::str::FromStr;
 
-pub type Read<T> = Result<T, String>;
+pub type Read<T> = Result<T, Flaw>;
 
-pub fn wanted<T>(read: &str, expected: &str) -> Read<T> {
-    let shown: String = read.chars().take(80).collect();
-    Err(format!("read '{shown}', expected {expected}"))
+pub fn wanted<T>(read: &str, expected: &'static str) -> Read<T> {
+    Err(Flaw::Wanted { read: shown(read), expected })
 }
 
 /// The values of one line, taken in order.
@@ -23,7 +24,7 @@
         Values { line, rest: Some(line) }
     }
 
-    pub fn text(&mut self, expected: &str) -> Read<&'a str> {
+    pub fn text(&mut self, expected: &'static str) -> Read<&'a str> {
         let Some(rest) = self.rest.filter(|rest| !rest.is_empty()) else {
             return wanted(self.line, expected);
         };
@@ -32,25 +33,25 @@
         Ok(value)
     }
 
-    pub fn optional<T: FromStr>(&mut self, expected: &str) -> Read<Option<T>> {
+    pub fn optional<T: FromStr>(&mut self, expected: &'static str) -> Read<Option<T>> {
         match self.text(expected)? {
             "-" => Ok(None),
             value => value.parse().map(Some).or_else(|_| wanted(value, expected)),
         }
     }
 
-    pub fn number<T: FromStr>(&mut self, expected: &str) -> Read<T> {
+    pub fn number<T: FromStr>(&mut self, expected: &'static str) -> Read<T> {
         match self.optional(expected)? {
             Some(value) => Ok(value),
             None => wanted("-", expected),
         }
     }
 
-    pub fn clock(&mut self, expected: &str) -> Read<Ms> {
+    pub fn clock(&mut self, expected: &'static str) -> Read<Ms> {
         Ok(ms(self.number::<i64>(expected)?))
     }
 
-    pub fn remainder(&mut self, expected: &str) -> Read<&'a str> {
+    pub fn remainder(&mut self, expected: &'static str) -> Read<&'a str> {
         self.rest.take().map_or_else(|| wanted(self.line, expected), Ok)
     }
 
