--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod compare;
 pub mod crowd;
 pub mod detail;
+pub mod errors;
 pub mod experiment;
 pub mod figures;
 pub mod grid;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -2,10 +2,13 @@
 
 use crate::compare::{compare, MEASURES};
 use crate::detail::{Band, Detail, Span};
+use crate::errors::PlotError;
 use crate::experiment::Outcome;
 use crate::grid::variants;
+use plotters::drawing::DrawingAreaErrorKind;
 use plotters::prelude::*;
 use std::fmt::Write;
+use std::io;
 
 const SIZE: (u32, u32) = (560, 240);
 const COLOURS: [RGBColor; 6] = [
@@ -24,13 +27,14 @@
 }
 
 /// Lines over time, as SVG; between the two of `band`, if told, the ground is shaded.
-fn plot(title: &str, lines: &[Line], band: Option<&[(f64, f64, f64)]>) -> Result<String, String> {
+fn plot(title: &str, lines: &[Line], band: Option<&[(f64, f64, f64)]>) -> Result<String, PlotError> {
     let mut text = String::new();
     let points = || lines.iter().flat_map(|it| &it.1).copied();
     let last = points().map(|it| it.0).fold(1.0, f64::max);
     let tops = band.into_iter().flatten().map(|it| it.2);
     let top = points().map(|it| it.1).chain(tops).fold(1e-9, f64::max) * 1.08;
-    draw(&mut text, title, lines, band, (last, top)).map_err(|it| format!("{title}: {it}"))?;
+    draw(&mut text, title, lines, band, (last, top))
+        .map_err(|source| PlotError { title: title.into(), source })?;
     Ok(text)
 }
 
@@ -40,7 +44,7 @@
     lines: &[Line],
     band: Option<&[(f64, f64, f64)]>,
     (last, top): (f64, f64),
-) -> Result<(), Box<dyn std::error::Error>> {
+) -> Result<(), DrawingAreaErrorKind<io::Error>> {
     let root = SVGBackend::with_string(text, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&root)
@@ -75,12 +79,12 @@
     (name, spans.iter().map(|it| (it.until, of(it))).collect())
 }
 
-fn banded(title: &str, spans: &[Span], of: fn(&Span) -> Band) -> Result<String, String> {
+fn banded(title: &str, spans: &[Span], of: fn(&Span) -> Band) -> Result<String, PlotError> {
     let band: Vec<(f64, f64, f64)> = spans.iter().map(|it| (it.until, of(it)[0], of(it)[2])).collect();
     plot(title, &[line("half", spans, |it| of(it)[1])], Some(&band))
 }
 
-fn plots(detail: &Detail) -> Result<Vec<String>, String> {
+fn plots(detail: &Detail) -> Result<Vec<String>, PlotError> {
     let spans = &detail.spans;
     let rungs = spans.iter().map(|it| it.rungs.len()).max().unwrap_or(0);
     let names: Vec<String> = (0..rungs).map(|it| format!("rung {it}")).collect();
@@ -127,7 +131,7 @@
 ///
 /// # Errors
 /// If a plot can't be drawn.
-pub fn html(name: &str, all: &[Outcome]) -> Result<String, String> {
+pub fn html(name: &str, all: &[Outcome]) -> Result<String, PlotError> {
     let names = variants(all);
     let mut text = format!(
         "<!doctype html><meta charset=utf-8><title>{0}</title><style>body{{font:14px sans-serif;margin:2em}}\
