The bench ends with a typed error instead of a panic: what, where, and what to try

Wants of descriptors, of processes or of fit numbers ended the bench in a panic's trace, or were told as a first rate that is too much.

BenchError (bench/src/errors.rs) names the part, its address or its arguments and what can be tried; the program ends with 1. A rate that no run survives still is the last one where a lower one was measured. A number of servers of 0 is refused by the manager's settings instead of a division by it.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Servers that say yes to all, and their list.
 
+use crate::errors::BenchError;
 use crate::library::{listed, titles, PLAYLIST};
 use crate::managing::until;
 use hyper::body::Incoming;
@@ -19,14 +20,23 @@
 type Sender = async_channel::Sender<bytes::Bytes>;
 
 /// All servers on one thread, each on a socket of its own; and their list.
-pub fn fleet(servers: usize, ready: mpsc::Sender<SocketAddr>, stopped: mpsc::Receiver<()>) {
+pub fn fleet(
+    servers: usize,
+    ready: mpsc::Sender<SocketAddr>,
+    stopped: mpsc::Receiver<()>,
+) -> Result<(), BenchError> {
     let exec = executor();
     let nursery = Nursery::new(exec);
-    let open = || Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
+    let open = |what| {
+        let of = |source| BenchError::Socket { what, source };
+        let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).map_err(of)?;
+        let address = listener.get_ref().local_addr().map_err(of)?;
+        Ok::<_, BenchError>((listener, address))
+    };
     let mut rows = Vec::new();
     for ix in 0..servers {
-        let listener = open();
-        rows.push(listed(ix, listener.get_ref().local_addr().expect("an address").to_string()));
+        let (listener, address) = open("a server")?;
+        rows.push(listed(ix, address.to_string()));
         let streams: Rc<RefCell<Vec<_>>> = Rc::default();
         let alive = streams.clone();
         nursery.spawn(async move {
@@ -54,8 +64,7 @@
         };
         nursery.spawn(serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
     }
-    let listener = open();
-    let address = listener.get_ref().local_addr().expect("an address");
+    let (listener, address) = open("the list")?;
     let (list, titles) = (write_servers(&rows), write_titles(&titles(servers)));
     let handler = move |request: Request<Incoming>, _| {
         let text = if request.uri().path().contains("health") { list.clone() } else { titles.clone() };
@@ -72,4 +81,5 @@
     _ = ready.send(address);
     block_on(exec.run(until(stopped)));
     nursery.end();
+    Ok(())
 }
--- a/bench/src/library.rs
+++ b/bench/src/library.rs
@@ -1,5 +1,6 @@
 //! The front on a fake clock: the cost of a decision, and what is left in memory.
 
+use crate::errors::BenchError;
 use ottersail_daemon::run::house;
 use ottersail_daemon::settings::manager::{read_manager, Manager};
 use ottersail_front::decisions::Decisions;
@@ -20,7 +21,7 @@
     #EXTINF:2,\ns5.m4s\n#EXTINF:2,\ns6.m4s\n#EXTINF:2,\ns7.m4s\n#EXT-X-ENDLIST\n";
 
 /// Settings of a manager before so many servers, links sized for a held viewing in a thousand.
-pub fn manager(servers: usize, listen: &str, list: &str, link_kb: f64) -> Manager {
+pub fn manager(servers: usize, listen: &str, list: &str, link_kb: f64) -> Result<Manager, BenchError> {
     let text = format!(
         "[manager]\nnumber = 0\nmanagers = 1\nzone = a\nlisten = {listen}\nkeys = keys\nmost-waiting = 100000\n\
          most-watches = 1000000\nconnections = 50000\n[list]\naddress = {list}\nservice = streaming\n\
@@ -30,11 +31,11 @@
          fall-ms = 1000\nmax-tune-ins = 3\nmax-stay-away-ms = 1000\n\
          [package clips]\nvalue = 1\njoin-target-ms = 800\nrepeat = safe\n"
     );
-    read_manager(Path::new("bench"), &text).unwrap_or_else(|it| panic!("{}", it.join("\n")))
+    read_manager(Path::new("bench"), &text).map_err(|it| BenchError::Settings(it.join("; ")))
 }
 
-pub fn keys() -> Keys {
-    Keys::read("a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA").unwrap_or_else(|it| panic!("{it}"))
+pub fn keys() -> Result<Keys, BenchError> {
+    Keys::read("a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA").map_err(|it| BenchError::Key(it.to_string()))
 }
 
 pub fn listed(ix: usize, address: String) -> Listed {
@@ -51,7 +52,8 @@
 }
 
 pub fn titles(servers: usize) -> Vec<Title> {
-    let title = |it: usize| Title { name: format!("t-{it}"), base: (it * 7 % servers) as u64, copies: 5 };
+    let title =
+        |it: usize| Title { name: format!("t-{it}"), base: (it * 7 % servers.max(1)) as u64, copies: 5 };
     (0..TITLES).map(title).collect()
 }
 
@@ -96,7 +98,7 @@
 }
 
 impl Bed {
-    pub fn new(servers: usize, link_kb: f64) -> Bed {
+    pub fn new(servers: usize, link_kb: f64) -> Result<Bed, BenchError> {
         Bed::with(servers, link_kb, |terms, out| Box::new(Brain::born(Ms(1e6), 1, terms, out)))
     }
 
@@ -105,16 +107,16 @@
         servers: usize,
         link_kb: f64,
         decisions: impl FnOnce(Terms, &mut dyn Answers) -> Box<dyn Decisions>,
-    ) -> Bed {
-        let manager = manager(servers, "127.0.0.1:1", "127.0.0.1:1", link_kb);
+    ) -> Result<Bed, BenchError> {
+        let manager = manager(servers, "127.0.0.1:1", "127.0.0.1:1", link_kb)?;
         let mut out = Out::default();
-        let house = house(&manager, keys());
+        let house = house(&manager, keys()?);
         let mut front = Front::with(Ms(1e6), manager.terms, house, &mut out, decisions);
         let list: Vec<Listed> =
             (0..servers).map(|it| listed(it, format!("127.0.0.1:{}", 1000 + it))).collect();
         front.titled(Ms(1e6), &titles(servers));
         front.listed(Ms(1e6), 1, &list, &mut out);
-        Bed { front, out, now: 1e6, asks: 0 }
+        Ok(Bed { front, out, now: 1e6, asks: 0 })
     }
 
     pub fn set_up(&mut self) {
@@ -147,7 +149,7 @@
 }
 
 /// Mean microseconds of a set-up and of a note, with so many viewings held at 280 servers.
-pub fn decision(held: &[usize]) {
+pub fn decision(held: &[usize]) -> Result<(), BenchError> {
     const SERVERS: usize = 280;
     const TRIES: usize = 400;
     println!(
@@ -155,7 +157,7 @@
     );
     for held in held {
         // Links wide enough for all at the middle rate.
-        let mut bed = Bed::new(SERVERS, 500.0 * (*held as f64 / SERVERS as f64).max(4.0));
+        let mut bed = Bed::new(SERVERS, 500.0 * (*held as f64 / SERVERS as f64).max(4.0))?;
         for _ in 0..*held {
             bed.now += 0.01;
             bed.set_up();
@@ -181,6 +183,7 @@
             bed.out.refused
         );
     }
+    Ok(())
 }
 
 fn resident_kb() -> u64 {
@@ -190,8 +193,8 @@
 }
 
 /// Resident memory after so many viewings in all have been set up, have played for a while and have ended.
-pub fn memory(viewings: &[usize]) {
-    let mut bed = Bed::new(280, 100_000.0);
+pub fn memory(viewings: &[usize]) -> Result<(), BenchError> {
+    let mut bed = Bed::new(280, 100_000.0)?;
     println!("viewings ended   resident kB   still held   (280 servers, some 200 at once, on a fake clock)");
     println!("{:>14}   {:>11}   {:>10}", 0, resident_kb(), 0);
     for count in viewings {
@@ -211,4 +214,5 @@
         }
         println!("{:>14}   {:>11}   {:>10}", bed.asks, resident_kb(), bed.front.viewings());
     }
+    Ok(())
 }
--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -1,10 +1,11 @@
 //! One manager in a process of its own, servers and list on a thread here, an open-loop load on two more: arrivals do
 //! not wait for answers, and a time to the answer counts from when the request was due.
 
+use crate::errors::BenchError;
 use crate::fleet::fleet;
 use crate::load::{histogram, load, load_once};
-use std::net::TcpListener;
-use std::process::{Command, Stdio};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Output, Stdio};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -41,13 +42,22 @@
     }
 }
 
-pub fn measure(seconds: f64, servers: usize, from: f64, cores: usize) {
+pub fn measure(seconds: f64, servers: usize, from: f64, cores: usize) -> Result<(), BenchError> {
     println!("one manager on {cores} cores, {servers} servers, load and servers on the same machine, {seconds} s a rate");
     println!("pick     rate/s   p50 ms   p99 ms  p99.9 ms  refused  failed   held   us a set-up: all   front  decisions");
     for pick in ["module", "random"] {
         let mut rate = from;
         let mut best: Option<f64> = None;
-        while let Some(shown) = apart(pick, rate, seconds, (servers, cores)) {
+        loop {
+            let shown = match (apart(pick, rate, seconds, (servers, cores)), best) {
+                (Ok(shown), _) => shown,
+                // A rate that is too much for a run to end with figures is the last one, too.
+                (Err(trouble), Some(_)) => {
+                    eprintln!("{trouble}");
+                    break;
+                }
+                (Err(trouble), None) => return Err(trouble),
+            };
             print(pick, &shown);
             if shown.p99 > BOUND_MS || shown.failed * 100.0 > shown.answered {
                 break;
@@ -59,34 +69,41 @@
             None => println!("the first rate is already too much"),
             Some(best) => {
                 println!("p99 stays within {BOUND_MS} ms up to {best:.0} a second; at half of that:");
-                if let Some(shown) = apart(pick, best / 2.0, seconds, (servers, cores)) {
-                    print(pick, &shown);
-                }
+                print(pick, &apart(pick, best / 2.0, seconds, (servers, cores))?);
             }
         }
     }
+    Ok(())
+}
+
+/// What a process of this program told.
+fn figures(text: &[u8]) -> Vec<f64> {
+    String::from_utf8_lossy(text).split_whitespace().filter_map(|it| it.parse().ok()).collect()
+}
+
+fn no_figures(what: &'static str, arguments: &[String], output: &Output) -> BenchError {
+    let text = |it: &[u8]| String::from_utf8_lossy(it).trim().to_string();
+    let (told, said) = (text(&output.stdout), text(&output.stderr));
+    BenchError::NoFigures { what, told, said, again: arguments.join(" ") }
 }
 
 /// Each rate in a process of its own, so that none inherits another's sockets or memory.
-fn apart(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Option<Shown> {
-    let program = std::env::current_exe().ok()?;
-    let arguments =
-        [pick.to_string(), rate.to_string(), seconds.to_string(), servers.to_string(), cores.to_string()];
-    let output = Command::new(program).arg("at-rate").args(arguments).output().ok()?;
-    let text = String::from_utf8_lossy(&output.stdout);
-    let figures: Vec<f64> = text.split_whitespace().filter_map(|it| it.parse().ok()).collect();
-    let shown = Shown::of(&figures);
-    if shown.is_none() {
-        eprintln!("{}", String::from_utf8_lossy(&output.stderr));
-    }
-    shown
+fn apart(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Result<Shown, BenchError> {
+    const WHAT: &str = "one rate";
+    let program = std::env::current_exe().map_err(BenchError::OwnPath)?;
+    let numbers = [rate.to_string(), seconds.to_string(), servers.to_string(), cores.to_string()];
+    let arguments = [vec!["at-rate".to_string(), pick.to_string()], numbers.to_vec()].concat();
+    let output = Command::new(program).args(&arguments).output();
+    let output = output.map_err(|source| BenchError::Process { what: WHAT, source })?;
+    Shown::of(&figures(&output.stdout)).ok_or_else(|| no_figures(WHAT, &arguments, &output))
 }
 
 /// One rate, its figures on standard output.
-pub fn at_rate(pick: &str, rate: f64, seconds: f64, servers: usize, cores: usize) {
+pub fn at_rate(pick: &str, rate: f64, seconds: f64, servers: usize, cores: usize) -> Result<(), BenchError> {
     ottersail_daemon::run::raise_files(0);
-    let shown = run(pick, rate, seconds, (servers, cores));
+    let shown = run(pick, rate, seconds, (servers, cores))?;
     println!("{}", shown.figures().map(|it| it.to_string()).join(" "));
+    Ok(())
 }
 
 fn print(pick: &str, it: &Shown) {
@@ -96,22 +113,29 @@
     );
 }
 
-fn run(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Shown {
+fn run(pick: &str, rate: f64, seconds: f64, (servers, cores): (usize, usize)) -> Result<Shown, BenchError> {
+    const WHAT: &str = "the manager";
     let (ready, is_ready) = mpsc::channel();
     let (stop_servers, stopped) = mpsc::channel();
     let fleet = std::thread::spawn(move || fleet(servers, ready, stopped));
-    let list = is_ready.recv().expect("the servers start");
-    let address = TcpListener::bind("127.0.0.1:0").and_then(|it| it.local_addr()).expect("a port");
-    let program = std::env::current_exe().expect("this program");
-    let arguments =
-        [pick.to_string(), servers.to_string(), cores.to_string(), address.to_string(), list.to_string()];
+    let Ok(list) = is_ready.recv() else {
+        // It ended before it told where its list is: for want of sockets, or in a panic.
+        let none = SocketAddr::from(([127, 0, 0, 1], 0));
+        let ended = fleet.join().ok().and_then(Result::err);
+        return Err(ended.unwrap_or(BenchError::BrokeOff { what: "the servers", address: none }));
+    };
+    let address = TcpListener::bind("127.0.0.1:0").and_then(|it| it.local_addr());
+    let address = address.map_err(|source| BenchError::Socket { what: WHAT, source })?;
+    let program = std::env::current_exe().map_err(BenchError::OwnPath)?;
+    let numbers = [servers.to_string(), cores.to_string(), address.to_string(), list.to_string()];
+    let arguments = [vec!["manage".to_string(), pick.to_string()], numbers.to_vec()].concat();
+    let process = |source| BenchError::Process { what: WHAT, source };
     let mut managing = Command::new(program)
-        .arg("manage")
-        .args(arguments)
+        .args(&arguments)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()
-        .expect("the manager starts");
+        .map_err(process)?;
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(10) && !load_once(address) {
         std::thread::sleep(Duration::from_millis(20));
@@ -120,22 +144,21 @@
         (0..2).map(|it| std::thread::spawn(move || load(address, rate / 2.0, seconds, it))).collect();
     let (mut times, mut refused, mut failed) = (histogram(), 0, 0);
     for thread in load {
-        let (part, r, f) = thread.join().expect("the load ends");
+        let ended = thread.join();
+        let (part, r, f) = ended.map_err(|_| BenchError::BrokeOff { what: "the load", address })?;
         times.add(&part).expect("equal bounds");
         (refused, failed) = (refused + r, failed + f);
     }
     // It ends when its input does, and tells its figures.
     drop(managing.stdin.take());
-    let output = managing.wait_with_output().expect("the manager ends");
-    let text = String::from_utf8_lossy(&output.stdout);
-    let figures: Vec<f64> = text.split_whitespace().filter_map(|it| it.parse().ok()).collect();
-    let &[cpu, front, decisions, held] = &figures[..] else {
-        panic!("the manager's figures: {text:?}");
+    let output = managing.wait_with_output().map_err(process)?;
+    let &[cpu, front, decisions, held] = &figures(&output.stdout)[..] else {
+        return Err(no_figures(WHAT, &arguments, &output));
     };
     drop(stop_servers);
     _ = fleet.join();
     let ms = |part: f64| times.value_at_quantile(part) as f64 / 1e3;
-    Shown {
+    Ok(Shown {
         rate,
         p50: ms(0.5),
         p99: ms(0.99),
@@ -147,5 +170,5 @@
         cpu,
         front,
         decisions,
-    }
+    })
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures the session manager. Figures hold for the machine that they were taken on; compare within one run.
 
+mod errors;
 mod fleet;
 mod library;
 mod load;
@@ -11,6 +12,7 @@
 mod timed;
 
 use clap::{Parser, Subcommand};
+use std::process::ExitCode;
 
 /// Measures the session manager.
 #[derive(Parser)]
@@ -63,19 +65,27 @@
     },
 }
 
-fn main() {
-    match Line::parse().what {
+fn main() -> ExitCode {
+    let done = match Line::parse().what {
         What::Loopback { seconds, servers, from, cores } => loopback::measure(seconds, servers, from, cores),
         What::AtRate { pick, rate, seconds, servers, cores } => {
-            loopback::at_rate(&pick, rate, seconds, servers, cores);
+            loopback::at_rate(&pick, rate, seconds, servers, cores)
         }
         What::Manage { pick, servers, cores, address, list } => {
-            managing::manage(&pick, servers, cores, &address, &list);
+            managing::manage(&pick, servers, cores, &address, &list)
         }
         What::Decision { held } => library::decision(&held),
         What::Front => shared::front(),
         What::Published => published::measure(),
-        What::Queue { pending } => queue::measure(&pending),
+        What::Queue { pending } => {
+            queue::measure(&pending);
+            Ok(())
+        }
         What::Memory { viewings } => library::memory(&viewings),
+    };
+    if let Err(trouble) = done {
+        eprintln!("ottersail-bench: {trouble}");
+        return ExitCode::FAILURE;
     }
+    ExitCode::SUCCESS
 }
--- a/bench/src/managing.rs
+++ b/bench/src/managing.rs
@@ -1,5 +1,6 @@
 //! The manager of `loopback`, in a process of its own.
 
+use crate::errors::BenchError;
 use crate::library::{keys, manager};
 use crate::timed::Timed;
 use ottersail_daemon::run::{house, start};
@@ -22,9 +23,9 @@
 
 /// A manager until its input ends; then microseconds of CPU a set-up, in all, in its front, in the decisions, and how
 /// many viewings it holds, on standard output.
-pub fn manage(pick: &str, servers: usize, cores: usize, address: &str, list: &str) {
+pub fn manage(pick: &str, servers: usize, cores: usize, address: &str, list: &str) -> Result<(), BenchError> {
     ottersail_daemon::run::raise_files(0);
-    let mut manager = manager(servers, address, list, 2_000_000.0);
+    let mut manager = manager(servers, address, list, 2_000_000.0)?;
     manager.cores = cores;
     let clock = Clock::start();
     let exec = executor();
@@ -33,7 +34,7 @@
     let front = Front::with(
         Ms(clock.now()),
         manager.terms.clone(),
-        house(&manager, keys()),
+        house(&manager, keys()?),
         &mut ottersail_daemon::run::NoOrders,
         move |terms, out| {
             let of: Box<dyn Decisions> = if random {
@@ -44,7 +45,8 @@
             Box::new(Timed { of, spent: timed })
         },
     );
-    let running = start(exec, clock, &manager, keys(), front, None).expect("the manager starts");
+    let running = start(exec, clock, &manager, keys()?, front, None)
+        .map_err(|it| BenchError::Manager { address: address.to_string(), cause: it.to_string() })?;
     let (stop, stopped) = mpsc::channel::<()>();
     std::thread::spawn(move || {
         _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
@@ -56,6 +58,7 @@
     let (held, count) = owner.front(|it| (it.viewings(), it.counts().asked.max(1)));
     let each = |it: Duration| it.as_secs_f64() * 1e6 / count as f64;
     println!("{} {} {} {held}", each(cpu() - before), each(owner.spent.get()), each(spent.get()));
+    Ok(())
 }
 
 /// Of all threads of this process.
--- a/bench/src/published.rs
+++ b/bench/src/published.rs
@@ -1,5 +1,6 @@
 //! What all cores read: published without a lock, beside a lock and a copy a core.
 
+use crate::errors::BenchError;
 use crate::library::keys;
 use arc_swap::ArcSwap;
 use ottersail_tickets::Keys;
@@ -21,7 +22,8 @@
         let stop = &stop;
         scope.spawn(move || {
             while !stop.load(Ordering::Relaxed) {
-                publish(keys());
+                // It was read before.
+                keys().into_iter().for_each(&publish);
                 std::thread::sleep(Duration::from_millis(10));
             }
         });
@@ -44,28 +46,29 @@
     })
 }
 
-pub fn measure() {
+pub fn measure() -> Result<(), BenchError> {
     println!("ns a read of the keys on each core, while they are published anew 100 times a second");
     println!("cores   arc-swap   mutex   copy a core, renewed by a version");
     let size = |it: &Keys| std::ptr::from_ref(it) as usize;
+    let first = Arc::new(keys()?);
     for cores in [1, 2, 4] {
-        let swap = ArcSwap::from_pointee(keys());
+        let swap = ArcSwap::from_pointee(keys()?);
         let by_swap = reads(cores, |it| swap.store(Arc::new(it)), || (), |()| size(&swap.load()));
-        let lock = Mutex::new(Arc::new(keys()));
+        let lock = Mutex::new(Arc::new(keys()?));
         let by_lock = reads(
             cores,
             |it| *lock.lock().expect("no thread panics") = Arc::new(it),
             || (),
             |()| size(&lock.lock().expect("no thread panics").clone()),
         );
-        let (version, newest) = (AtomicU64::new(0), Mutex::new(Arc::new(keys())));
+        let (version, newest) = (AtomicU64::new(0), Mutex::new(Arc::new(keys()?)));
         let by_copy = reads(
             cores,
             |it| {
                 *newest.lock().expect("no thread panics") = Arc::new(it);
                 version.fetch_add(1, Ordering::Release);
             },
-            || (u64::MAX, Arc::new(keys())),
+            || (u64::MAX, first.clone()),
             |own| {
                 let now = version.load(Ordering::Acquire);
                 if own.0 != now {
@@ -76,4 +79,5 @@
         );
         println!("{cores:>5} {by_swap:>10.1} {by_lock:>7.1} {by_copy:>10.1}");
     }
+    Ok(())
 }
--- a/bench/src/shared.rs
+++ b/bench/src/shared.rs
@@ -1,6 +1,7 @@
 //! What cores share, by itself: a front that one owner holds beside a front in a lock. No sockets; the work of a
 //! connection is a loop of known length.
 
+use crate::errors::BenchError;
 use crate::library::Bed;
 use async_channel::{bounded, Receiver, Sender};
 use ottersail_cores::Claim;
@@ -37,15 +38,15 @@
 // thread at a time has it: the owner for good, or whoever holds the lock.
 unsafe impl Send for Moved {}
 
-fn bed(random: bool) -> Moved {
+fn bed(random: bool) -> Result<Moved, BenchError> {
     let link = 500.0 * HELD as f64 / SERVERS as f64 * 20.0;
     let mut bed = if random {
-        Bed::with(SERVERS, link, |terms, _| Box::new(Baseline::new(terms, Pick::LowestRung, 1)))
+        Bed::with(SERVERS, link, |terms, _| Box::new(Baseline::new(terms, Pick::LowestRung, 1)))?
     } else {
-        Bed::new(SERVERS, link)
+        Bed::new(SERVERS, link)?
     };
     (0..HELD).for_each(|_| bed.set_up());
-    Moved(bed)
+    Ok(Moved(bed))
 }
 
 /// Set-ups a second, and microseconds of CPU each beyond the connections' own.
@@ -57,8 +58,8 @@
     (count / began.elapsed().as_secs_f64(), (cpu() - before) / count - own)
 }
 
-fn in_a_lock(cores: usize, random: bool) -> Shown {
-    let (bed, stop) = (Arc::new(Mutex::new(bed(random))), Arc::new(AtomicBool::new(false)));
+fn in_a_lock(cores: usize, random: bool) -> Result<Shown, BenchError> {
+    let (bed, stop) = (Arc::new(Mutex::new(bed(random)?)), Arc::new(AtomicBool::new(false)));
     let (began, before) = (Instant::now(), cpu());
     let threads: Vec<_> = (0..cores)
         .map(|_| {
@@ -80,7 +81,7 @@
     std::thread::sleep(SPAN);
     stop.store(true, Ordering::Relaxed);
     let count = threads.into_iter().map(|it| it.join().expect("it counts")).sum();
-    shown(count, began, before)
+    Ok(shown(count, began, before))
 }
 
 enum News {
@@ -123,10 +124,10 @@
 }
 
 /// The owner has a thread of its own from three cores on, as `Spread` gives it no connections then.
-fn with_an_owner(cores: usize, random: bool) -> Shown {
+fn with_an_owner(cores: usize, random: bool) -> Result<Shown, BenchError> {
     let (news, to_owner) = bounded(8_192);
     let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-    let bed = bed(random);
+    let bed = bed(random)?;
     let (began, before) = (Instant::now(), cpu());
     let connections =
         move |news: &Sender<News>, stop: &Arc<AtomicBool>, count: &Arc<AtomicU64>, tasks: usize| {
@@ -158,17 +159,17 @@
         drop(owner);
     }));
     threads.into_iter().for_each(|it| it.join().expect("it ends"));
-    shown(count.load(Ordering::Relaxed), began, before)
+    Ok(shown(count.load(Ordering::Relaxed), began, before))
 }
 
-pub fn front() {
+pub fn front() -> Result<(), BenchError> {
     println!("one front, {SERVERS} servers, {HELD} held, {CONNECTION:?} of work a set-up at its connections, no sockets");
     println!(
         "pick     cores   owner: set-ups/s   us   lock: set-ups/s   us   (CPU beyond the connections' own)"
     );
     for random in [false, true] {
         for cores in [1, 2, 4] {
-            let (owner, lock) = (with_an_owner(cores, random), in_a_lock(cores, random));
+            let (owner, lock) = (with_an_owner(cores, random)?, in_a_lock(cores, random)?);
             println!(
                 "{:<7} {cores:>6} {:>18.0} {:>4.0} {:>17.0} {:>4.0}",
                 if random { "random" } else { "module" },
@@ -179,4 +180,5 @@
             );
         }
     }
+    Ok(())
 }
