--- a/bench/src/errors.rs
+++ b/bench/src/errors.rs
@@ -1,4 +1,5 @@
-//! What keeps a measurement from being made. Each text says what is wrong, where, and what an operator can try.
+//! What keeps a measurement from being made. Each text says what is wrong, where, and what an operator can
+//! try.
 
 use std::io;
 use std::net::SocketAddr;
--- a/bench/src/errors/tests.rs
+++ b/bench/src/errors/tests.rs
@@ -25,11 +25,16 @@
 
 /// What is wrong, where, and what to try.
 #[test_case(
-    &BenchError::Settings("bench:3: x".into()), ["bench:3: x", "settings of the bench's manager", "other numbers"];
+    &BenchError::Settings("bench:3: x".into()),
+    ["bench:3: x", "settings of the bench's manager", "other numbers"];
     "settings"
 )]
 #[test_case(&BenchError::Key("too short".into()), ["too short", "library.rs", "build anew"]; "key")]
-#[test_case(&BenchError::OwnPath(cause()), ["permission denied", "this program's path", "by its whole path"]; "path")]
+#[test_case(
+    &BenchError::OwnPath(cause()),
+    ["permission denied", "this program's path", "by its whole path"];
+    "path"
+)]
 #[test_case(
     &BenchError::Socket { what: "a server", source: cause() },
     ["permission denied", "on 127.0.0.1 for a server", "ulimit -n"];
@@ -41,7 +46,10 @@
     "process"
 )]
 #[test_case(&manager(), ["in use", "manager at 127.0.0.1:9", "end who listens there"]; "manager")]
-#[test_case(&no_figures(), ["no figures but \"x\": no room", "one rate told", "`at-rate module 400`"]; "figures")]
+#[test_case(
+    &no_figures(), ["no figures but \"x\": no room", "one rate told", "`at-rate module 400`"];
+    "figures"
+)]
 #[test_case(&broke_off(), ["broke off", "the load at 127.0.0.1:9", "a lower rate"]; "thread")]
 fn a_text_says_what_where_and_what_to_try(error: &BenchError, parts: [&str; 3]) {
     let told = error.to_string();
--- a/bench/src/library.rs
+++ b/bench/src/library.rs
@@ -23,12 +23,12 @@
 /// Settings of a manager before so many servers, links sized for a held viewing in a thousand.
 pub fn manager(servers: usize, listen: &str, list: &str, link_kb: f64) -> Result<Manager, BenchError> {
     let text = format!(
-        "[manager]\nnumber = 0\nmanagers = 1\nzone = a\nlisten = {listen}\nkeys = keys\nmost-waiting = 100000\n\
-         most-watches = 1000000\nconnections = 50000\n[list]\naddress = {list}\nservice = streaming\n\
-         wait-ms = 60000\n[servers]\n[ladder]\nrates-kb = 100, 200, 400, 800\nlink-unit-kb = {link_kb}\n\
+        "[manager]\nnumber = 0\nmanagers = 1\nzone = a\nlisten = {listen}\nkeys = keys\n\
+         most-waiting = 100000\nmost-watches = 1000000\nconnections = 50000\n[list]\naddress = {list}\n\
+         service = streaming\nwait-ms = 60000\n[servers]\n[ladder]\nrates-kb = 100, 200, 400, 800\nlink-unit-kb = {link_kb}\n\
          cells = {servers}\nracks = 28\nplaces = k:100000\nseen-after-ms = 800\nreports-every-ms = 3000\n\
-         change-cost-ms = 600\n[rules]\ndrain-grace-ms = 1000\ncold-ms = 0\nstart-capacity = 1\nfall-multiple = 3\n\
-         fall-ms = 1000\nmax-tune-ins = 3\nmax-stay-away-ms = 1000\n\
+         change-cost-ms = 600\n[rules]\ndrain-grace-ms = 1000\ncold-ms = 0\nstart-capacity = 1\n\
+         fall-multiple = 3\nfall-ms = 1000\nmax-tune-ins = 3\nmax-stay-away-ms = 1000\n\
          [package clips]\nvalue = 1\njoin-target-ms = 800\nrepeat = safe\n"
     );
     read_manager(Path::new("bench"), &text).map_err(|it| BenchError::Settings(it.join("; ")))
--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -1,5 +1,5 @@
-//! One manager in a process of its own, servers and list on a thread here, an open-loop load on two more: arrivals do
-//! not wait for answers, and a time to the answer counts from when the request was due.
+//! One manager in a process of its own, servers and list on a thread here, an open-loop load on two more:
+//! arrivals do not wait for answers, and a time to the answer counts from when the request was due.
 
 use crate::errors::BenchError;
 use crate::fleet::fleet;
@@ -11,8 +11,8 @@
 
 const BOUND_MS: f64 = 50.0;
 
-/// What a run at one rate showed: milliseconds, counts, and microseconds a set-up of the manager's thread in all, in
-/// its front, in the decisions.
+/// What a run at one rate showed: milliseconds, counts, and microseconds a set-up of the manager's thread in
+/// all, in its front, in the decisions.
 #[derive(Clone, Copy, Debug, Default)]
 struct Shown {
     rate: f64,
@@ -43,8 +43,14 @@
 }
 
 pub fn measure(seconds: f64, servers: usize, from: f64, cores: usize) -> Result<(), BenchError> {
-    println!("one manager on {cores} cores, {servers} servers, load and servers on the same machine, {seconds} s a rate");
-    println!("pick     rate/s   p50 ms   p99 ms  p99.9 ms  refused  failed   held   us a set-up: all   front  decisions");
+    println!(
+        "one manager on {cores} cores, {servers} servers, load and servers on the same machine, {seconds} s \
+         a rate"
+    );
+    println!(
+        "pick     rate/s   p50 ms   p99 ms  p99.9 ms  refused  failed   held   us a set-up: all   \
+         front  decisions"
+    );
     for pick in ["module", "random"] {
         let mut rate = from;
         let mut best: Option<f64> = None;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,4 +1,5 @@
-//! Measures the session manager. Figures hold for the machine that they were taken on; compare within one run.
+//! Measures the session manager. Figures hold for the machine that they were taken on; compare within one
+//! run.
 
 mod errors;
 mod fleet;
@@ -23,8 +24,8 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// Set-ups a second of one manager over loopback until p99 of the time to the answer passes 50 ms, with the module
-    /// and with a plain random pick.
+    /// Set-ups a second of one manager over loopback until p99 of the time to the answer passes 50 ms, with
+    /// the module and with a plain random pick.
     Loopback {
         /// Seconds at each rate.
         #[arg(long, default_value_t = 6.0)]
--- a/bench/src/managing.rs
+++ b/bench/src/managing.rs
@@ -21,8 +21,8 @@
     }
 }
 
-/// A manager until its input ends; then microseconds of CPU a set-up, in all, in its front, in the decisions, and how
-/// many viewings it holds, on standard output.
+/// A manager until its input ends; then microseconds of CPU a set-up, in all, in its front, in the decisions,
+/// and how many viewings it holds, on standard output.
 pub fn manage(pick: &str, servers: usize, cores: usize, address: &str, list: &str) -> Result<(), BenchError> {
     ottersail_daemon::run::raise_files(0);
     let mut manager = manager(servers, address, list, 2_000_000.0)?;
--- a/bench/src/queue.rs
+++ b/bench/src/queue.rs
@@ -10,7 +10,8 @@
     at.to_bits()
 }
 
-/// Nanoseconds for taking the next and putting one back, with so many pending: spans from microseconds to minutes.
+/// Nanoseconds for taking the next and putting one back, with so many pending: spans from microseconds to
+/// minutes.
 fn hold(pending: usize, mut put: impl FnMut(f64, u64), mut pop: impl FnMut() -> f64, ops: usize) -> f64 {
     let mut rng = fastrand::Rng::with_seed(1);
     // Half of them soon, the rest spread over minutes, as notes and players lie.
--- a/bench/src/shared.rs
+++ b/bench/src/shared.rs
@@ -1,5 +1,5 @@
-//! What cores share, by itself: a front that one owner holds beside a front in a lock. No sockets; the work of a
-//! connection is a loop of known length.
+//! What cores share, by itself: a front that one owner holds beside a front in a lock. No sockets; the work
+//! of a connection is a loop of known length.
 
 use crate::errors::BenchError;
 use crate::library::Bed;
@@ -17,7 +17,8 @@
 const SPAN: Duration = Duration::from_millis(1_500);
 /// A connection's share of a set-up: HTTP towards the player, and towards the server.
 const CONNECTION: [Duration; 2] = [Duration::from_micros(40), Duration::from_micros(40)];
-/// Viewings under way at once on a core, in the owner's arrangement; in a lock a thread does one after the other.
+/// Viewings under way at once on a core, in the owner's arrangement; in a lock a thread does one after the
+/// other.
 const AT_ONCE: usize = 16;
 
 fn work(span: Duration) {
@@ -34,8 +35,8 @@
 
 struct Moved(Bed);
 
-// SAFETY: a bed is whole in itself. Its counted ids have no clone outside of it, since only strings leave it, and one
-// thread at a time has it: the owner for good, or whoever holds the lock.
+// SAFETY: a bed is whole in itself. Its counted ids have no clone outside of it, since only strings leave it,
+// and one thread at a time has it: the owner for good, or whoever holds the lock.
 unsafe impl Send for Moved {}
 
 fn bed(random: bool) -> Result<Moved, BenchError> {
@@ -163,7 +164,10 @@
 }
 
 pub fn front() -> Result<(), BenchError> {
-    println!("one front, {SERVERS} servers, {HELD} held, {CONNECTION:?} of work a set-up at its connections, no sockets");
+    println!(
+        "one front, {SERVERS} servers, {HELD} held, {CONNECTION:?} of work a set-up at its connections, no \
+         sockets"
+    );
     println!(
         "pick     cores   owner: set-ups/s   us   lock: set-ups/s   us   (CPU beyond the connections' own)"
     );
--- a/drill/src/wire/tests.rs
+++ b/drill/src/wire/tests.rs
@@ -1,9 +1,11 @@
 use super::*;
 use test_case::test_case;
 
-const BORN: &str = "BORN manager-1 7 {\"tick-ns\":10000000,\"peers-total\":1,\"me\":0,\"az\":\"z\",\"skus\":[\"k\"],\
+const BORN: &str = "BORN manager-1 7 {\"tick-ns\":10000000,\"peers-total\":1,\"me\":0,\"az\":\"z\",\
+    \"skus\":[\"k\"],\
     \"classes\":[{\"name\":\"c\",\"promise-ns\":800000000,\"semantics\":\"idempotent\"}],\"new-key\":{},\
-    \"extra\":{\"rates-kb\":[100.0],\"places\":2,\"link-unit-kb\":1000.0,\"lowest-rung\":[0],\"top-by-class\":[0],\
+    \"extra\":{\"rates-kb\":[100.0],\"places\":2,\"link-unit-kb\":1000.0,\"lowest-rung\":[0],\
+    \"top-by-class\":[0],\
     \"places-by-kind\":[9]},\"allowed\":{\"max-attempts\":2},\"safety\":{}}\n\
     REGISTER 0 1\nM k 0 U 10.0.0.1:80 - 1 z\nMEMBERS manager-1 SAVED 1 0\n";
 const ASK: &str = "INCOMING manager-1 v1 0 0 - 0 0 title 4000000001 c 1 -\n";
@@ -47,11 +49,28 @@
 #[test_case("FLUSH\n", "line 1: read 'FLUSH', expected MARK"; "no mark")]
 #[test_case("MARK x\nFLUSH\n", "line 1: read 'x', expected a clock time"; "unparsable number")]
 #[test_case("MARK 1\n", "line 2: read 'the end of input', expected FLUSH"; "truncated batch")]
-#[test_case("MARK 1\nSING manager-1\nFLUSH\n", "line 2: read 'SING', expected a known event"; "unknown event first")]
-#[test_case("MARK 1\nBELL manager-1\nFLUSH\n", "line 2: read 'manager-1', expected an instance that was born"; "bell for the unborn")]
-#[test_case("MARK 1\nBORN manager-1 7 {\nFLUSH\n", "line 2: read '{', expected a settings object"; "broken settings")]
-#[test_case("MARK 1\nREGISTER 0 2\nM k 0 U a:1 - 1 z\n", "line 4: read 'the end of input', expected a list entry"; "short list")]
-#[test_case("MARK 1\nREGISTER 0 1\nM k 0 Q a:1 - 1 z\nFLUSH\n", "line 3: read 'Q', expected U, L or D"; "availability")]
+#[test_case(
+    "MARK 1\nSING manager-1\nFLUSH\n", "line 2: read 'SING', expected a known event";
+    "unknown event first"
+)]
+#[test_case(
+    "MARK 1\nBELL manager-1\nFLUSH\n",
+    "line 2: read 'manager-1', expected an instance that was born";
+    "bell for the unborn"
+)]
+#[test_case(
+    "MARK 1\nBORN manager-1 7 {\nFLUSH\n", "line 2: read '{', expected a settings object";
+    "broken settings"
+)]
+#[test_case(
+    "MARK 1\nREGISTER 0 2\nM k 0 U a:1 - 1 z\n",
+    "line 4: read 'the end of input', expected a list entry";
+    "short list"
+)]
+#[test_case(
+    "MARK 1\nREGISTER 0 1\nM k 0 Q a:1 - 1 z\nFLUSH\n", "line 3: read 'Q', expected U, L or D";
+    "availability"
+)]
 fn bad_input_gets_one_plain_line(input: &str, expected: &str) {
     let told = reply_to(input).unwrap_err().to_string();
     assert!(told.starts_with(expected), "{told}");
--- a/lab/src/crowd.rs
+++ b/lab/src/crowd.rs
@@ -57,7 +57,8 @@
 pub fn playlist(day: &Day, package: usize, title: usize) -> String {
     let seconds = day.segment / 1e3;
     let mut text = format!(
-        "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-TARGETDURATION:{}\n#EXT-X-PLAYLIST-TYPE:VOD\n#EXT-X-MAP:URI=\"init.mp4\"\n",
+        "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-TARGETDURATION:{}\n#EXT-X-PLAYLIST-TYPE:VOD\n\
+         #EXT-X-MAP:URI=\"init.mp4\"\n",
         seconds.ceil()
     );
     for ix in 0..segments(day, package, title) {
--- a/lab/src/errors.rs
+++ b/lab/src/errors.rs
@@ -1,5 +1,5 @@
-//! Why a day, an experiment or a report can't be played or drawn. Each text says what is wrong, where, and what an
-//! operator can try.
+//! Why a day, an experiment or a report can't be played or drawn. Each text says what is wrong, where, and
+//! what an operator can try.
 
 use plotters::drawing::DrawingAreaErrorKind;
 use std::io;
@@ -19,7 +19,10 @@
 
 /// A plot of a report can't be drawn.
 #[derive(Debug, Error)]
-#[error("plot {title:?} can't be drawn: {source}; look for figures in the results that are no numbers, and play anew")]
+#[error(
+    "plot {title:?} can't be drawn: {source}; look for figures in the results that are no numbers, and play \
+     anew"
+)]
 pub struct PlotError {
     pub title: String,
     pub source: DrawingAreaErrorKind<io::Error>,
@@ -29,7 +32,10 @@
 pub enum LabError {
     #[error("{}: can't be read: {source}; check the path, and who may read it", path.display())]
     Unread { path: PathBuf, source: io::Error },
-    #[error("{}: can't be written: {source}; make room there, or name another place with --out", path.display())]
+    #[error(
+        "{}: can't be written: {source}; make room there, or name another place with --out",
+        path.display()
+    )]
     Unwritten { path: PathBuf, source: io::Error },
     /// Complaints name their lines; there is one a line.
     #[error("{}\n{}: not played; correct what is named above", complaints.join("\n"), path.display())]
@@ -41,17 +47,29 @@
     Lacks { variant: String, headings: Vec<String> },
     #[error("{day}: {source}")]
     Model { day: String, source: ModelError },
-    #[error("the result of {day}, variant {variant}, seed {seed} is no JSON: {source}; play it alone and look at it")]
+    #[error(
+        "the result of {day}, variant {variant}, seed {seed} is no JSON: {source}; play it alone and look at \
+         it"
+    )]
     Result { day: String, variant: String, seed: u64, source: serde_json::Error },
-    #[error("{}: a run broke off while it wrote there; run the experiment again, which goes on from there", path.display())]
+    #[error(
+        "{}: a run broke off while it wrote there; run the experiment again, which goes on from there",
+        path.display()
+    )]
     BrokeOff { path: PathBuf },
-    #[error("{}: {read} of {wanted} results can be read; see that nothing else writes there, and run it again", path.display())]
+    #[error(
+        "{}: {read} of {wanted} results can be read; see that nothing else writes there, and run it again",
+        path.display()
+    )]
     Short { path: PathBuf, read: usize, wanted: usize },
     #[error("{}: no results; `run` the experiment first, or name their place with --out", path.display())]
     NoResults { path: PathBuf },
     #[error("{}: no variant {unknown:?}; name one of these: {}", path.display(), known.join(", "))]
     NoVariant { path: PathBuf, unknown: String, known: Vec<String> },
-    #[error("{}: no day and seed was played with both {a:?} and {b:?}; `run` the experiment to its end", path.display())]
+    #[error(
+        "{}: no day and seed was played with both {a:?} and {b:?}; `run` the experiment to its end",
+        path.display()
+    )]
     NoPairs { path: PathBuf, a: String, b: String },
     #[error("report of {name}: {source}")]
     Plot { name: String, source: PlotError },
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,5 +1,5 @@
-//! An experiment: days, seeds and variants of a day's settings, played as a grid. What was played before with the same
-//! settings and version is not played again.
+//! An experiment: days, seeds and variants of a day's settings, played as a grid. What was played before with
+//! the same settings and version is not played again.
 
 use crate::detail::Detail;
 use crate::errors::LabError;
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -45,8 +45,9 @@
         self.earned / self.offered.max(1e-9)
     }
 
-    /// As [`Figures::value`], over what would have been offered had all played: a viewing that was blocked, aborted or
-    /// given up would have been offered as much as one that played. Who left by himself is not counted.
+    /// As [`Figures::value`], over what would have been offered had all played: a viewing that was blocked,
+    /// aborted or given up would have been offered as much as one that played. Who left by himself is not
+    /// counted.
     pub fn value_asked(&self) -> f64 {
         let lost = self.blocked + self.aborted + self.gave_up + self.broken;
         self.value() * self.played as f64 / (self.played + lost).max(1) as f64
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,5 @@
-//! The session manager's library before a modelled fleet and crowd, in simulated time: no sockets, one seed, the same
-//! result each time. The laws of the model and their sources: docs/rehearsal-model.md.
+//! The session manager's library before a modelled fleet and crowd, in simulated time: no sockets, one seed,
+//! the same result each time. The laws of the model and their sources: docs/rehearsal-model.md.
 
 pub mod compare;
 pub mod crowd;
--- a/lab/src/links.rs
+++ b/lab/src/links.rs
@@ -1,5 +1,5 @@
-//! Servers, their links and the uplinks of their racks. Sums are kept as viewings change, so that what one viewing
-//! gets is known at once, whatever the fleet's size.
+//! Servers, their links and the uplinks of their racks. Sums are kept as viewings change, so that what one
+//! viewing gets is known at once, whatever the fleet's size.
 
 use ottersail_wire::report::Report;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -169,8 +169,8 @@
         Some(held)
     }
 
-    /// What is asked over what is given, of link and uplink, and the share that each viewing there gets: on a short
-    /// link, and behind a short uplink, all get the same.
+    /// What is asked over what is given, of link and uplink, and the share that each viewing there gets: on a
+    /// short link, and behind a short uplink, all get the same.
     pub fn report(&self, it: ServerNo) -> Report {
         let server = &self.servers[it.0];
         let rack = &self.racks[server.rack];
--- a/lab/src/links/tests.rs
+++ b/lab/src/links/tests.rs
@@ -71,7 +71,9 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 200, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default()
+    })]
 
     #[test]
     fn sums_stay_what_they_are_by_definition(
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -1,5 +1,5 @@
-//! A day in simulated time: servers and their links, the list, managers, viewers. Everything happens as an event of one
-//! wheel, drawn from one seed, so that a run repeats itself to the byte.
+//! A day in simulated time: servers and their links, the list, managers, viewers. Everything happens as an
+//! event of one wheel, drawn from one seed, so that a run repeats itself to the byte.
 
 mod asking;
 mod event;
--- a/lab/src/model/orders.rs
+++ b/lab/src/model/orders.rs
@@ -70,7 +70,8 @@
                     self.links.set_rung(server, &vw, rung, kb);
                     self.figures.steps_up += u64::from(rung > before);
                     self.figures.steps_down += u64::from(rung < before);
-                    // All titles of a package have segments of one length; the front keeps the title's own list.
+                    // All titles of a package have segments of one length; the front keeps the title's own
+                    // list.
                     playlist(&self.plan.day, package, 0)
                 });
                 self.notify(manager, 0.0, Told::RungChanged { vw, rung, playlist: list });
--- a/lab/src/model/watching.rs
+++ b/lab/src/model/watching.rs
@@ -41,8 +41,8 @@
             return self.broke(viewer);
         };
         held.seen = now;
-        // A segment comes at once where all is given. On a short link each viewing gets its share of its rate and no more,
-        // so that a segment takes longer to come than to be shown.
+        // A segment comes at once where all is given. On a short link each viewing gets its share of its rate
+        // and no more, so that a segment takes longer to come than to be shown.
         let wait = if share < 1.0 { segment / share.max(0.01) } else { 0.0 };
         if wait > SEGMENT_PATIENCE {
             return self.broke(viewer);
--- a/lab/src/player.rs
+++ b/lab/src/player.rs
@@ -1,4 +1,5 @@
-//! A player's buffer: when segments come, what was worth watching, and how long it stood still. No events, no chance.
+//! A player's buffer: when segments come, what was worth watching, and how long it stood still. No events, no
+//! chance.
 
 use crate::links::ServerNo;
 
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -135,10 +135,13 @@
     let names = variants(all);
     let mut text = format!(
         "<!doctype html><meta charset=utf-8><title>{0}</title><style>body{{font:14px sans-serif;margin:2em}}\
-         table{{border-collapse:collapse;margin:1em 2em 1em 0}}td,th{{border:1px solid #ccc;padding:2px 8px;text-align:right}}\
+         table{{border-collapse:collapse;margin:1em 2em 1em 0}}td,th{{border:1px solid #ccc;padding:2px \
+         8px;text-align:right}}\
          td:first-child{{text-align:left}}.row{{display:flex;flex-wrap:wrap;align-items:flex-start}}</style>\
-         <h1>{0}</h1><p>Simulated. {1} runs. Differences are to the first variant, by pairs of the same day and seed; in \
-         brackets where 95 in 100 of means drawn anew lie; bold where that is clear of none.<table><tr><th>variant<th>runs",
+         <h1>{0}</h1><p>Simulated. {1} runs. Differences are to the first variant, by pairs of the same day \
+         and seed; in \
+         brackets where 95 in 100 of means drawn anew lie; bold where that is clear of \
+         none.<table><tr><th>variant<th>runs",
         escape(name),
         all.len()
     );
--- a/lab/src/wheel.rs
+++ b/lab/src/wheel.rs
@@ -1,7 +1,7 @@
-//! What is to happen, in order of time; of equal times what was put first. A hierarchical timing wheel (Varghese and
-//! Lauck, 1987): an entry lies in the slot of the highest digit, base 256, in which its millisecond differs from the
-//! present one, and moves down as that comes near. Within the present millisecond entries are kept in a small heap, so
-//! that times with fractions keep their exact order.
+//! What is to happen, in order of time; of equal times what was put first. A hierarchical timing wheel
+//! (Varghese and Lauck, 1987): an entry lies in the slot of the highest digit, base 256, in which its
+//! millisecond differs from the present one, and moves down as that comes near. Within the present
+//! millisecond entries are kept in a small heap, so that times with fractions keep their exact order.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -179,9 +179,12 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig {
+            cases: 300, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default()
+        })]
 
-        /// Beside a plain list that is sorted: whatever is put in between, also for the present moment or the past.
+        /// Beside a plain list that is sorted: whatever is put in between, also for the present moment or the
+        /// past.
         #[test]
         fn as_a_sorted_list(
             steps in proptest::collection::vec((any::<bool>(), 0u32..40, 0.0..1.0f64), 1..300),
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -43,7 +43,10 @@
 #[test_case("crash", 0.3, 0.0, |it| it.set_ups > 300; "servers crash")]
 #[test_case("vanish", 0.3, 0.0, |it| it.start_ms > 0.0; "servers fall silent")]
 #[test_case("drain", 0.5, 0.0, |it| it.aborted == 0; "a drain costs nobody")]
-#[test_case("replace", 0.5, 1.0, |it| it.cold_set_ups > 0 && it.fell == 0; "cold ones are used and not pushed over")]
+#[test_case(
+    "replace", 0.5, 1.0, |it| it.cold_set_ups > 0 && it.fell == 0;
+    "cold ones are used and not pushed over"
+)]
 #[test_case("lose-answers", 0.4, 0.0, |it| it.aborted > 0; "an unsafe one whose answer is lost is aborted")]
 #[test_case("manager-kill", 0.5, 0.0, |it| it.broken > 0; "who waits at a killed manager is broken off")]
 #[test_case("manager-roll", 0.0, 1.0, |it| it.played > 200; "managers are rolled")]
--- a/lab/tests/grid.rs
+++ b/lab/tests/grid.rs
@@ -62,8 +62,8 @@
     _ = std::fs::remove_file(path);
 }
 
-/// By seed, to the byte: the sum of all figures of the small experiment. A change to the module, the library or the
-/// model changes it, and is to be meant.
+/// By seed, to the byte: the sum of all figures of the small experiment. A change to the module, the library
+/// or the model changes it, and is to be meant.
 #[test]
 fn the_small_experiment_gives_what_it_gave() {
     let (experiment, path) = (small(), fresh("same"));
