--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,12 +1,19 @@
-//! Measures the session manager. Figures hold for the machine that they were taken on; compare within one run.
+//! Measures the session manager. Figures hold for the machine that they were taken on; compare within one
+//! run.
 
+mod errors;
+mod fleet;
 mod library;
+mod load;
 mod loopback;
+mod managing;
+mod published;
 mod queue;
 mod shared;
 mod timed;
 
 use clap::{Parser, Subcommand};
+use std::process::ExitCode;
 
 /// Measures the session manager.
 #[derive(Parser)]
@@ -17,8 +24,8 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// Set-ups a second of one manager over loopback until p99 of the time to the answer passes 50 ms, with the module
-    /// and with a plain random pick.
+    /// Set-ups a second of one manager over loopback until p99 of the time to the answer passes 50 ms, with
+    /// the module and with a plain random pick.
     Loopback {
         /// Seconds at each rate.
         #[arg(long, default_value_t = 6.0)]
@@ -59,19 +66,27 @@
     },
 }
 
-fn main() {
-    match Line::parse().what {
+fn main() -> ExitCode {
+    let done = match Line::parse().what {
         What::Loopback { seconds, servers, from, cores } => loopback::measure(seconds, servers, from, cores),
         What::AtRate { pick, rate, seconds, servers, cores } => {
-            loopback::at_rate(&pick, rate, seconds, servers, cores);
+            loopback::at_rate(&pick, rate, seconds, servers, cores)
         }
         What::Manage { pick, servers, cores, address, list } => {
-            loopback::manage(&pick, servers, cores, &address, &list);
+            managing::manage(&pick, servers, cores, &address, &list)
         }
         What::Decision { held } => library::decision(&held),
         What::Front => shared::front(),
-        What::Published => shared::published(),
-        What::Queue { pending } => queue::measure(&pending),
+        What::Published => published::measure(),
+        What::Queue { pending } => {
+            queue::measure(&pending);
+            Ok(())
+        }
         What::Memory { viewings } => library::memory(&viewings),
+    };
+    if let Err(trouble) = done {
+        eprintln!("ottersail-bench: {trouble}");
+        return ExitCode::FAILURE;
     }
+    ExitCode::SUCCESS
 }
--- a/lab/tests/grid.rs
+++ b/lab/tests/grid.rs
@@ -1,12 +1,13 @@
 //! An experiment as a grid: what is played, kept, taken up again, and that it repeats.
 
 use ottersail_lab::compare::compare;
-use ottersail_lab::experiment::{results, run, variants, Experiment};
+use ottersail_lab::experiment::Experiment;
+use ottersail_lab::grid::{results, run, variants};
 use std::path::{Path, PathBuf};
 
 fn small() -> Experiment {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../experiments/small.ini");
-    Experiment::read(Path::new(path)).unwrap_or_else(|it| panic!("{}", it.join("\n")))
+    Experiment::read(Path::new(path)).unwrap_or_else(|it| panic!("{it}"))
 }
 
 fn fresh(name: &str) -> PathBuf {
@@ -21,7 +22,7 @@
     let files = std::fs::read_dir(folder).unwrap().map(|it| it.unwrap().path());
     let experiments = files
         .filter(|it| it.to_string_lossy().ends_with(".ini") && !it.to_string_lossy().ends_with(".day.ini"));
-    let read = experiments.map(|it| Experiment::read(&it).unwrap_or_else(|all| panic!("{}", all.join("\n"))));
+    let read = experiments.map(|it| Experiment::read(&it).unwrap_or_else(|all| panic!("{all}")));
     assert!(read.count() >= 2);
 }
 
@@ -61,8 +62,8 @@
     _ = std::fs::remove_file(path);
 }
 
-/// By seed, to the byte: the sum of all figures of the small experiment. A change to the module, the library or the
-/// model changes it, and is to be meant.
+/// By seed, to the byte: the sum of all figures of the small experiment. A change to the module, the library
+/// or the model changes it, and is to be meant.
 #[test]
 fn the_small_experiment_gives_what_it_gave() {
     let (experiment, path) = (small(), fresh("same"));
