The judge in a file for each concern, with imports that go one way

Each rule has its file under rules/; what they share (when managers ran, the set-ups of a record) lies beside them, and the verdict in one of its own. Files that gather others are imported by none of their parts. No line of what is counted was changed.

--- a/judge/src/lib.rs
+++ b/judge/src/lib.rs
@@ -6,9 +6,11 @@
 mod rules;
 mod spread;
 mod standing;
+mod verdict;
 
 pub use record::{Event, Line, Terms};
 pub use report::write_report;
-pub use rules::{judge, Finding, Verdict};
+pub use rules::judge;
 pub use spread::{spread, Compared, Spread, Swing, Times};
 pub use standing::Evenness;
+pub use verdict::{Finding, Verdict};
--- a/judge/src/rules/tests.rs
+++ b/judge/src/rules/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::record::{PackageTerms, Shapes};
+use crate::record::{PackageTerms, Shapes, Standing};
 use test_case::test_case;
 
 fn terms() -> Terms {
