--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -163,11 +163,11 @@
         },
         Job::Judge { traffic, report } => {
             let file = File::open(&traffic).map_err(|it| it.to_string());
-            let read = file.and_then(|it| record::read(BufReader::new(it)));
+            let read = file.and_then(|it| record::read(BufReader::new(it)).map_err(|it| it.to_string()));
             let judged = read.and_then(|(terms, lines)| {
                 let verdict = judge(&terms, &lines);
                 if let Some(folder) = report {
-                    write_report(&folder, &terms, &lines, &verdict)?;
+                    write_report(&folder, &terms, &lines, &verdict).map_err(|it| it.to_string())?;
                 }
                 Ok(verdict)
             });
--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -169,13 +169,13 @@
     let tell = |it: std::io::Error| it.to_string();
     let clock = Clock::start();
     let traffic = asked.traffic.clone().unwrap_or_else(|| folder.join("traffic.jsonl"));
-    let recorder = Recorder::begin(&traffic, clock, plan.judged()).map_err(tell)?;
+    let recorder = Recorder::begin(&traffic, clock, plan.judged()).map_err(|it| it.to_string())?;
     let secret = |_| format!("{:032x}", fastrand::u128(..));
     let keys_text = format!("b {}{}\na {}{}\n", secret(0), "AA", secret(1), "AA");
     let keys = Keys::read(&keys_text)?;
     fs::write(folder.join("keys"), &keys_text).map_err(tell)?;
     let (go, going) = async_channel::bounded(1);
-    let fleet = run_fleet(&plan.day, &recorder, &keys, going)?;
+    let fleet = run_fleet(&plan.day, &recorder, &keys, going).map_err(|it| it.to_string())?;
 
     let stall = plan.day.faults.iter().find(|it| it.kind == FaultKind::CoreStall);
     let stage = Stage {
@@ -255,7 +255,7 @@
     let unclean =
         managers.iter_mut().filter_map(|it| wait_end(it, ENDS).or(it.unclean.take())).collect::<Vec<_>>();
     fleet.stop();
-    recorder.close().map_err(tell)?;
+    recorder.close().map_err(|it| it.to_string())?;
     played?;
     if !unclean.is_empty() {
         return Err(unclean.join("\n"));
@@ -264,10 +264,11 @@
         gather(&stage, &managers, record).map_err(tell)?;
         fs::write(format!("{}.keys", record.display()), &keys_text).map_err(tell)?;
     }
-    let (terms, lines) = record::read(BufReader::new(File::open(&traffic).map_err(tell)?))?;
+    let (terms, lines) = record::read(BufReader::new(File::open(&traffic).map_err(tell)?))
+        .map_err(|it| format!("{}: {it}", traffic.display()))?;
     let verdict = judge(&terms, &lines);
     if let Some(folder) = &asked.report {
-        write_report(folder, &terms, &lines, &verdict)?;
+        write_report(folder, &terms, &lines, &verdict).map_err(|it| it.to_string())?;
     }
     Ok(verdict)
 }
--- a/judge/src/lib.rs
+++ b/judge/src/lib.rs
@@ -1,6 +1,7 @@
-//! Judges the six rules from the record of what went over the sockets, as the stand-ins saw it by their own clock.
-//! Nothing that a manager says of itself counts.
+//! Judges the six rules from the record of what went over the sockets, as the stand-ins saw it by their own
+//! clock. Nothing that a manager says of itself counts.
 
+mod error;
 pub mod record;
 mod report;
 mod rules;
@@ -8,6 +9,7 @@
 mod standing;
 mod verdict;
 
+pub use error::{RecordError, ReportError};
 pub use record::{Event, Line, Terms};
 pub use report::write_report;
 pub use rules::judge;
--- a/judge/src/record/event.rs
+++ b/judge/src/record/event.rs
@@ -24,7 +24,8 @@
     Begins {
         terms: Terms,
     },
-    /// A player sent a request that a viewing may be taken for. `first`: it asks for a title, not for a reload.
+    /// A player sent a request that a viewing may be taken for. `first`: it asks for a title, not for a
+    /// reload.
     Asked {
         ask: u64,
         manager: usize,
@@ -68,7 +69,8 @@
         places: f64,
         #[serde(default)]
         cell: u64,
-        /// What its link gives, and the uplink that it shares with all of its rack, in kB a second; 0 if it has none.
+        /// What its link gives, and the uplink that it shares with all of its rack, in kB a second; 0 if it
+        /// has none.
         #[serde(default)]
         link_kb: f64,
         #[serde(default)]
@@ -159,7 +161,8 @@
     Noted {
         server: String,
     },
-    /// What a manager takes at rest, the mean of all: memory; wake-ups and milliseconds of processor time a second.
+    /// What a manager takes at rest, the mean of all: memory; wake-ups and milliseconds of processor time a
+    /// second.
     Rested {
         managers: usize,
         memory_kb: f64,
--- a/judge/src/record/read.rs
+++ b/judge/src/record/read.rs
@@ -1,3 +1,4 @@
+use crate::error::RecordError;
 use crate::record::event::{Event, Line};
 use crate::record::terms::Terms;
 use std::io::BufRead;
@@ -6,11 +7,13 @@
 ///
 /// # Errors
 /// The number of the first line that can't be read, and why; or that it does not begin with its terms.
-pub fn read(input: impl BufRead) -> Result<(Terms, Vec<Line>), String> {
+pub fn read(input: impl BufRead) -> Result<(Terms, Vec<Line>), RecordError> {
     let mut lines = Vec::new();
     for (no, line) in input.lines().enumerate() {
-        let line = line.map_err(|it| format!("line {}: {it}", no + 1))?;
-        lines.push(serde_json::from_str::<Line>(&line).map_err(|it| format!("line {}: {it}", no + 1))?);
+        let no = no + 1;
+        let line = line.map_err(|source| RecordError::Unreadable { line: no, source })?;
+        let event = serde_json::from_str::<Line>(&line);
+        lines.push(event.map_err(|source| RecordError::NoEvent { line: no, source })?);
     }
     match lines.first().map(|it| it.event.clone()) {
         Some(Event::Begins { terms }) => {
@@ -18,6 +21,6 @@
             lines.sort_by(|a, b| a.at.total_cmp(&b.at));
             Ok((terms, lines))
         }
-        _ => Err("line 1: a record begins with the terms it is judged by".into()),
+        _ => Err(RecordError::NoTerms),
     }
 }
--- a/judge/src/record/terms.rs
+++ b/judge/src/record/terms.rs
@@ -61,8 +61,8 @@
     }
 }
 
-/// Managers from this number on are of the new shape; neither shape may get more than `factor` times what the other
-/// gets for each viewing asked, nor be blocked that much more often.
+/// Managers from this number on are of the new shape; neither shape may get more than `factor` times what the
+/// other gets for each viewing asked, nor be blocked that much more often.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shapes {
     pub new_from: usize,
--- a/judge/src/report.rs
+++ b/judge/src/report.rs
@@ -3,11 +3,11 @@
 mod plots;
 mod series;
 
+use crate::error::ReportError;
 use crate::record::{Line, Terms};
 use crate::verdict::Verdict;
 use plots::{bands, heat, herd};
 use series::series;
-use std::error::Error;
 use std::fmt::Write;
 use std::fs;
 use std::path::Path;
@@ -16,23 +16,39 @@
 ///
 /// # Errors
 /// What could not be drawn or written.
-pub fn write_report(folder: &Path, terms: &Terms, lines: &[Line], verdict: &Verdict) -> Result<(), String> {
-    let tell = |it: std::io::Error| format!("{}: {it}", folder.display());
-    fs::create_dir_all(folder).map_err(tell)?;
-    let figures = serde_json::to_string_pretty(verdict).map_err(|it| it.to_string())?;
-    fs::write(folder.join("figures.json"), figures).map_err(tell)?;
-    let page = page(terms, lines, verdict).map_err(|it| it.to_string())?;
-    fs::write(folder.join("report.html"), page).map_err(tell)
+pub fn write_report(
+    folder: &Path,
+    terms: &Terms,
+    lines: &[Line],
+    verdict: &Verdict,
+) -> Result<(), ReportError> {
+    let made = fs::create_dir_all(folder);
+    made.map_err(|source| ReportError::Folder { folder: folder.to_path_buf(), source })?;
+    let file = folder.join("figures.json");
+    match serde_json::to_string_pretty(verdict) {
+        Ok(figures) => write(&file, &figures)?,
+        Err(source) => return Err(ReportError::Figures { file, source }),
+    }
+    let file = folder.join("report.html");
+    let page = page(&file, terms, lines, verdict)?;
+    write(&file, &page)
+}
+
+fn write(file: &Path, text: &str) -> Result<(), ReportError> {
+    fs::write(file, text).map_err(|source| ReportError::Write { file: file.to_path_buf(), source })
 }
 
-fn page(terms: &Terms, lines: &[Line], verdict: &Verdict) -> Result<String, Box<dyn Error>> {
+fn page(file: &Path, terms: &Terms, lines: &[Line], verdict: &Verdict) -> Result<String, ReportError> {
     let table = verdict.table().replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;");
     let mut text = format!(
-        "<!doctype html><meta charset=\"utf-8\"><title>A judged day</title>\n<h1>A judged day</h1>\n<pre>{table}</pre>\n"
+        "<!doctype html><meta charset=\"utf-8\"><title>A judged day</title>\n\
+         <h1>A judged day</h1>\n<pre>{table}</pre>\n"
     );
     if let Some(series) = series(terms, lines) {
-        for plot in [bands(&series)?, heat(&series)?, herd(&series)?] {
-            _ = writeln!(text, "{plot}");
+        for (plot, drawn) in [("bands", bands(&series)), ("heat", heat(&series)), ("herd", herd(&series))] {
+            let drawn =
+                drawn.map_err(|source| ReportError::Plot { file: file.to_path_buf(), plot, source })?;
+            _ = writeln!(text, "{drawn}");
         }
     }
     Ok(text)
--- a/judge/src/report/plots.rs
+++ b/judge/src/report/plots.rs
@@ -1,8 +1,8 @@
 //! The plots of a day.
 
 use crate::report::series::{Series, SAMPLES};
+use plotters::drawing::DrawingAreaErrorKind;
 use plotters::prelude::*;
-use std::error::Error;
 
 const SIZE: (u32, u32) = (760, 260);
 const BLUE: RGBColor = RGBColor(31, 119, 180);
@@ -12,8 +12,11 @@
     series.seconds.last().copied().unwrap_or(1.0).max(1.0)
 }
 
+/// A plot as SVG.
+pub(super) type Drawn = Result<String, DrawingAreaErrorKind<std::io::Error>>;
+
 /// All servers as bands: the fullest and the emptiest, the nine in ten between, the half.
-pub(super) fn bands(series: &Series) -> Result<String, Box<dyn Error>> {
+pub(super) fn bands(series: &Series) -> Drawn {
     let mut text = String::new();
     {
         let at = |sample: usize| {
@@ -51,7 +54,7 @@
 }
 
 /// Server by time; the darker, the fuller, red past its link.
-pub(super) fn heat(series: &Series) -> Result<String, Box<dyn Error>> {
+pub(super) fn heat(series: &Series) -> Drawn {
     let mut text = String::new();
     {
         let root = SVGBackend::with_string(&mut text, (SIZE.0, SIZE.1 + 140)).into_drawing_area();
@@ -83,7 +86,7 @@
     Ok(text)
 }
 
-pub(super) fn herd(series: &Series) -> Result<String, Box<dyn Error>> {
+pub(super) fn herd(series: &Series) -> Drawn {
     let mut text = String::new();
     {
         let points: Vec<(f64, f64)> =
--- a/judge/src/rules/answers.rs
+++ b/judge/src/rules/answers.rs
@@ -70,7 +70,8 @@
         }
     }
     for (ask, it) in &asks {
-        // A manager that died later had its time to answer: it was excused once, and a missing answer went unseen.
+        // A manager that died later had its time to answer: it was excused once, and a missing answer went
+        // unseen.
         let until = runs.run_for(it.manager, it.at, it.patience);
         let nobody = runs.died_within(it.manager, it.at, until) || runs.came_at_the_end(it.manager, it.at);
         if !it.settled && end > until + SLACK && !nobody {
--- a/judge/src/rules/runs.rs
+++ b/judge/src/rules/runs.rs
@@ -3,7 +3,8 @@
 use crate::record::{Event, Line};
 use std::collections::BTreeMap;
 
-/// What happens at two ends of a connection lies this far apart at most, in milliseconds; no finding hangs on less.
+/// What happens at two ends of a connection lies this far apart at most, in milliseconds; no finding hangs on
+/// less.
 pub(super) const SLACK: f64 = 150.0;
 
 /// When each manager did not run: killed until ready again, or stopped.
@@ -67,8 +68,8 @@
             .is_some_and(|it| it.iter().any(|it| it.0 <= to + SLACK && it.1 >= from - SLACK))
     }
 
-    /// A request sent to a manager that was told to end before it came was taken by nobody; what came before that is
-    /// owed its answer.
+    /// A request sent to a manager that was told to end before it came was taken by nobody; what came before
+    /// that is owed its answer.
     pub fn came_at_the_end(&self, manager: usize, at: f64) -> bool {
         let ending = self.ending.get(&manager).into_iter().flatten();
         ending.into_iter().any(|it| it.0 <= at + SLACK && at <= it.1 + SLACK)
--- a/judge/src/rules/servers.rs
+++ b/judge/src/rules/servers.rs
@@ -33,7 +33,8 @@
                     if line.at > until + SLACK {
                         let late = line.at - since;
                         broken.push(format!(
-                            "viewing {vw} was set up at {server} {late:.0} ms after manager {manager} was told"
+                            "viewing {vw} was set up at {server} {late:.0} ms after manager {manager} \
+                             was told"
                         ));
                     }
                 }
--- a/judge/src/spread.rs
+++ b/judge/src/spread.rs
@@ -1,5 +1,5 @@
-//! How evenly set-ups went over the servers, from the record: chance alone is the measure. A herd is what managers do in
-//! step; it shows as more swing between servers and windows than independent picks would give.
+//! How evenly set-ups went over the servers, from the record: chance alone is the measure. A herd is what
+//! managers do in step; it shows as more swing between servers and windows than independent picks would give.
 
 mod figures;
 mod herds;
--- a/judge/src/spread/figures.rs
+++ b/judge/src/spread/figures.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Swing {
     pub window: f64,
-    /// Variance of a server's set-ups in a window over what independent picks with each server's usual part would give.
+    /// Variance of a server's set-ups in a window over what independent picks with each server's usual part
+    /// would give.
     pub herd: f64,
     /// Largest count of a server in a window over the mean of its window, the mean of all windows.
     pub largest: f64,
@@ -41,8 +42,8 @@
 pub struct Spread {
     pub servers: usize,
     pub swings: Vec<Swing>,
-    /// The herd index in the second after a server's note, for that server; after each change of the list, and after a
-    /// fault's end; `None` where there was none.
+    /// The herd index in the second after a server's note, for that server; after each change of the list,
+    /// and after a fault's end; `None` where there was none.
     pub after_notes: Option<f64>,
     pub after_changes: Option<f64>,
     pub after_returns: Option<f64>,
--- a/judge/src/spread/herds.rs
+++ b/judge/src/spread/herds.rs
@@ -2,7 +2,8 @@
 
 use crate::spread::figures::{Swing, AFTER};
 
-/// A server that got nothing for so many of its mean gaps is idle; chance alone leaves e^-3, 5 in 100, so long.
+/// A server that got nothing for so many of its mean gaps is idle; chance alone leaves e^-3, 5 in 100, so
+/// long.
 const IDLE: f64 = 3.0;
 
 /// Servers that got fewer set-ups have no gap to speak of.
@@ -60,7 +61,8 @@
     (chance > 0.0).then(|| (seen / chance, largest / counted))
 }
 
-/// The herd index of single servers in the second after their own notes: who hears that one is empty goes there together.
+/// The herd index of single servers in the second after their own notes: who hears that one is empty goes
+/// there together.
 pub(super) fn after_notes(runs: &[Run], notes: &[(usize, f64)], last: f64) -> Option<f64> {
     let (mut seen, mut chance) = (0.0, 0.0);
     for (server, at) in notes {
--- a/judge/src/spread/table.rs
+++ b/judge/src/spread/table.rs
@@ -42,7 +42,8 @@
         let Times { half, nine_of_ten, most, thousandth } = self.times;
         _ = writeln!(
             text,
-            "ms until a viewing plays: half {half:.1}, 90 in 100 {nine_of_ten:.1}, 99 {most:.1}, 99.9 {thousandth:.1}"
+            "ms until a viewing plays: half {half:.1}, 90 in 100 {nine_of_ten:.1}, 99 {most:.1}, \
+             99.9 {thousandth:.1}"
         );
         if let Some((memory, wakes, cpu)) = self.rest {
             let memory = memory / 1024.0;
--- a/judge/src/standing.rs
+++ b/judge/src/standing.rs
@@ -1,5 +1,5 @@
-//! Which viewings stood where and for how long, and how they would have stood had they been picked otherwise: by one who
-//! sees all, by the published two random picks with loads that are fresh or old, by chance alone.
+//! Which viewings stood where and for how long, and how they would have stood had they been picked otherwise:
+//! by one who sees all, by the published two random picks with loads that are fresh or old, by chance alone.
 
 mod evenness;
 mod picks;
--- a/judge/src/standing/evenness.rs
+++ b/judge/src/standing/evenness.rs
@@ -3,8 +3,8 @@
 use crate::standing::stays::{Life, Stays};
 use serde::Serialize;
 
-/// Viewings standing over what a server's link or uplink gives, whichever is fuller, the mean over time: of the fullest
-/// server, of the 99th of 100 and of the emptiest, over the mean of all.
+/// Viewings standing over what a server's link or uplink gives, whichever is fuller, the mean over time: of
+/// the fullest server, of the 99th of 100 and of the emptiest, over the mean of all.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Evenness {
     pub largest: f64,
@@ -13,8 +13,8 @@
 }
 
 impl Stays {
-    /// Viewings that stood, mean over time, over what the link gives or, if that is more, those of the rack over what its
-    /// uplink gives; of the servers that ran for half of the time at least.
+    /// Viewings that stood, mean over time, over what the link gives or, if that is more, those of the rack
+    /// over what its uplink gives; of the servers that ran for half of the time at least.
     pub(super) fn evenness(&self, at: &[usize]) -> Evenness {
         let mut stood = vec![0.0; self.lives.len()];
         for (stay, life) in self.stays.iter().zip(at) {
--- a/judge/src/standing/picks.rs
+++ b/judge/src/standing/picks.rs
@@ -10,8 +10,8 @@
 pub(crate) enum Picker {
     /// The emptiest of all holders, as they are.
     Oracle,
-    /// The emptier of two random ones, by loads that all see anew every so many milliseconds (Mitzenmacher, "How useful is
-    /// old information?", 2000: the bulletin board).
+    /// The emptier of two random ones, by loads that all see anew every so many milliseconds (Mitzenmacher,
+    /// "How useful is old information?", 2000: the bulletin board).
     Two {
         old: f64,
     },
--- a/judge/src/standing/tests.rs
+++ b/judge/src/standing/tests.rs
@@ -3,7 +3,8 @@
 
 const TITLES: Titles = Titles { cells: 10, copies: 4, stride: 3 };
 
-/// Ten servers, two of them with twice the link; viewings of ten seconds, one each ten milliseconds, all where told.
+/// Ten servers, two of them with twice the link; viewings of ten seconds, one each ten milliseconds, all
+/// where told.
 fn record(at: impl Fn(usize) -> usize) -> Vec<Line> {
     let mut lines: Vec<Line> = (0..10u64)
         .map(|cell| {
