The stand-ins' files depend one way, and their errors are types

world, boxes and list imported each other in a circle, and world.rs (553 lines), players.rs (606) and boxes.rs (370) each held several concerns.

What all servers share stays in world; the list's book and what HTTP needs stand alone below it; boxes and list serve what they find there; lives start and end processes, faults and script act on them, and run begins all of it. Otherwise functions were moved as they were.

--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -2,7 +2,8 @@
 
 use ottersail_rig::Condition;
 
-/// All that the stand-ins need to know of a day. Times in milliseconds unless told otherwise, rates in kB a second.
+/// All that the stand-ins need to know of a day. Times in milliseconds unless told otherwise, rates in kB a
+/// second.
 #[derive(Clone, Debug)]
 pub struct Day {
     pub seed: u64,
@@ -41,7 +42,8 @@
     pub tenants: Vec<String>,
     /// New viewers a second.
     pub per_second: f64,
-    /// How uneven viewers are spread over managers: 0 is evenly; at 1 the first tenth of them gets a third of all.
+    /// How uneven viewers are spread over managers: 0 is evenly; at 1 the first tenth of them gets a third of
+    /// all.
     pub lean: f64,
     /// Part of the viewers who leave before the answer, and of those who leave midway.
     pub impatient: f64,
--- a/standins/src/list.rs
+++ b/standins/src/list.rs
@@ -1,9 +1,11 @@
 //! The list of servers and titles: a catalogue that is asked by blocking queries.
 
+use crate::book::FIRST_INDEX;
+use crate::http::{manager, plain, query, LIMITS};
 use crate::wires::Far;
-use crate::world::{Shared, LIMITS};
+use crate::world::{Shared, World};
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use ottersail_judge::record::Standing as Told;
 use ottersail_judge::Event;
 use ottersail_net::{whole, Body, Listener, Nursery, Server, Timer};
@@ -11,48 +13,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// What the list has to say, and when it says it.
-#[derive(Default)]
-pub(crate) struct Book {
-    /// By when they are seen: who changed, and to what.
-    changes: Vec<(f64, String, Option<Listed>)>,
-    pub silent: bool,
-    pub failing: bool,
-    pub garbled: bool,
-    pub behind: f64,
-    pub back: f64,
-    titles: Option<String>,
-    told: BTreeMap<usize, BTreeMap<String, Told>>,
-}
-
 /// A title begins so many cells after the one before it.
 pub const TITLE_STRIDE: u64 = 7;
-const FIRST_INDEX: usize = 1000;
-
-impl Book {
-    pub fn change(&mut self, now: f64, seen_at: f64, id: &str, entry: Option<Listed>) {
-        // What was to be said of it later is overtaken.
-        self.changes.retain(|it| it.0 <= now || it.1 != id || it.0 <= seen_at);
-        self.changes.push((seen_at, id.to_string(), entry));
-        self.changes.sort_by(|a, b| a.0.total_cmp(&b.0));
-    }
-
-    /// The index at that time; the list itself is put together only where it is to be told.
-    fn index(&self, time: f64) -> usize {
-        FIRST_INDEX + self.changes.partition_point(|it| it.0 <= time)
-    }
-
-    fn at(&self, time: f64) -> Vec<Listed> {
-        let mut list: BTreeMap<&str, &Listed> = BTreeMap::new();
-        for (_, id, entry) in self.changes.iter().take_while(|it| it.0 <= time) {
-            match entry {
-                Some(entry) => _ = list.insert(id, entry),
-                None => _ = list.remove(id.as_str()),
-            }
-        }
-        list.into_values().cloned().collect()
-    }
-}
 
 pub(crate) fn serve(nursery: &Nursery, listener: Listener, world: &Shared) {
     let shared = world.clone();
@@ -63,22 +25,6 @@
     nursery.spawn(ottersail_net::serve(nursery.clone(), listener, LIMITS, Server::new(), handler));
 }
 
-pub(crate) fn query<'a>(request: &'a Request<Incoming>, key: &str) -> Option<&'a str> {
-    let pairs = request.uri().query()?.split('&');
-    pairs.filter_map(|it| it.split_once('=')).find(|it| it.0 == key).map(|it| it.1)
-}
-
-pub(crate) fn plain(status: u16, text: &'static str) -> Response<Body> {
-    let mut response = Response::new(whole(text));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    response
-}
-
-pub(crate) fn manager(request: &Request<Incoming>) -> usize {
-    let header = request.headers().get("x-manager").and_then(|it| it.to_str().ok());
-    header.and_then(|it| it.parse().ok()).unwrap_or(usize::MAX)
-}
-
 async fn answer(world: &Shared, request: &Request<Incoming>) -> Response<Body> {
     let index = query(request, "index").and_then(|it| it.parse::<usize>().ok());
     let wait =
@@ -125,7 +71,7 @@
 }
 
 /// Where a fault of the day may take a wire, the manager is told its end.
-fn by_wire(world: &mut crate::world::World, manager: usize, list: &mut [Listed]) {
+fn by_wire(world: &mut World, manager: usize, list: &mut [Listed]) {
     if world.wires.is_empty() {
         return;
     }
@@ -158,7 +104,7 @@
 }
 
 /// Writes down what the manager is told anew.
-fn tell(world: &mut crate::world::World, manager: usize, fresh: bool, list: &[Listed]) {
+fn tell(world: &mut World, manager: usize, fresh: bool, list: &[Listed]) {
     let told = world.book.told.entry(manager).or_default();
     if fresh {
         told.clear();
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -1,7 +1,8 @@
+use crate::error::RecorderError;
 use ottersail_judge::{Event, Line, Terms};
 use ottersail_net::Clock;
 use std::fs::File;
-use std::io::{BufWriter, Result, Write};
+use std::io::{BufWriter, Write};
 use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -9,6 +10,7 @@
 #[derive(Clone)]
 pub struct Recorder {
     clock: Clock,
+    path: Arc<Path>,
     file: Arc<Mutex<BufWriter<File>>>,
 }
 
@@ -17,9 +19,11 @@
     ///
     /// # Errors
     /// If the file can't be made.
-    pub fn begin(path: &Path, clock: Clock, terms: Terms) -> Result<Recorder> {
-        let file = BufWriter::new(File::create(path)?);
-        let recorder = Recorder { clock, file: Arc::new(Mutex::new(file)) };
+    pub fn begin(path: &Path, clock: Clock, terms: Terms) -> Result<Recorder, RecorderError> {
+        let file = File::create(path);
+        let file = file.map_err(|source| RecorderError::Begin { file: path.to_path_buf(), source })?;
+        let file = BufWriter::new(file);
+        let recorder = Recorder { clock, path: path.into(), file: Arc::new(Mutex::new(file)) };
         recorder.note(Event::Begins { terms });
         Ok(recorder)
     }
@@ -39,7 +43,11 @@
 
     /// # Errors
     /// If the record could not be written out.
-    pub fn close(&self) -> Result<()> {
-        self.file.lock().unwrap_or_else(PoisonError::into_inner).flush()
+    pub fn close(&self) -> Result<(), RecorderError> {
+        self.file
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .flush()
+            .map_err(|source| RecorderError::Close { file: self.path.to_path_buf(), source })
     }
 }
--- a/standins/src/wires.rs
+++ b/standins/src/wires.rs
@@ -1,5 +1,5 @@
-//! The wires between managers and servers, or the list, where the day's faults lie on wires. Who is hit is drawn from the
-//! seed before the day begins; only these have relays, all others are called directly.
+//! The wires between managers and servers, or the list, where the day's faults lie on wires. Who is hit is
+//! drawn from the seed before the day begins; only these have relays, all others are called directly.
 
 use crate::day::{Day, Fault, Ways};
 use ottersail_net::Exec;
@@ -87,7 +87,8 @@
         self.hits.is_empty()
     }
 
-    /// Where a manager is to call that far end: at its address, or at a relay's if a fault of the day may take the wire.
+    /// Where a manager is to call that far end: at its address, or at a relay's if a fault of the day may
+    /// take the wire.
     pub fn address(&mut self, manager: usize, far: Far, real: SocketAddr) -> SocketAddr {
         if !self.hits.values().any(|it| it.takes(manager, far)) {
             return real;
