The decisions in rooms by what is decided: src/brain/ with eleven files beside brain.rs

One file of 1,119 lines held every decision, and some bounds lay beside it among the bookkeeping: after how long a server is forgotten, how long changes are kept, that a link counts for no more than it has, the target that the beat goes by, the middle rate, the highest rung, who counts against a tenant's share. What ledger.rs and census.rs keep takes its bounds from the rooms.

Won by: a link and an uplink are one type (Pipe) with what is free, used and others' of it; a server's past and the manager's are kept by the same type and as long; a start from default values; one judge of what answers; one pick by weight; lists that are narrowed where any is better; a clamp that never bound is gone. The shapes are split by concern, and census.rs no longer looks back at state.rs. The tests lie by room.

--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -1,15 +1,12 @@
 //! What the module keeps in step as viewings come, change and go. No decision lies in here.
 
 use super::Brain;
-use crate::census::Asker;
+use crate::census::{added, Asker};
 use crate::ids::{Cell, PackageIx, Rack, Rung, ServerId, TenantIx, ViewingId};
-use crate::state::{added, Availability, Belief, Entry, Phase, Server, TuneIn, Uplink, Viewing, Wish};
+use crate::state::{Availability, Belief, Entry, Phase, Server, TuneIn, Uplink, Viewing, Wish};
 use crate::terms::Package;
 use crate::time::Ms;
 
-/// Off the list for so many warm-ups, and at least so many fall windows, a server is forgotten.
-const FORGOTTEN: f64 = 3.0;
-
 impl Brain {
     pub fn package_named(&self, name: &str) -> Option<PackageIx> {
         self.terms.packages.iter().position(|package| package.name == name).map(PackageIx)
@@ -19,10 +16,8 @@
         self.terms.tenants.iter().position(|tenant| tenant.name == name).map(TenantIx)
     }
 
-    pub(super) fn take(&mut self, wish: Wish, phase: Phase, tune_ins: Vec<TuneIn>) {
+    pub(super) fn take(&mut self, wish: Wish, phase: Phase, tune_ins: Vec<TuneIn>, over_share: bool) {
         let rung = self.terms.packages[wish.package.0].floor;
-        let asked = wish.tenant.filter(|_| phase == Phase::Waiting);
-        let over_share = asked.is_some_and(|tenant| self.over_share(tenant));
         let (vw, taken) = (wish.vw.clone(), self.now);
         let viewing = Viewing::taken(wish, taken, rung, over_share);
         self.viewings.insert(vw.clone(), viewing);
@@ -32,13 +27,7 @@
     pub(super) fn asker(&self, viewing: &Viewing) -> Asker {
         let package = viewing.wish.package;
         let Viewing { rung, over_share, .. } = *viewing;
-        let package_terms = self.package(viewing);
-        let best = viewing.wish.best.min(package_terms.top).max(package_terms.floor);
-        Asker { package, best, rung, over_share }
-    }
-
-    pub(super) fn join_target(&self) -> Ms {
-        self.terms.packages.iter().map(|it| it.join_target).min().unwrap_or(Ms(1e3))
+        Asker { package, best: self.best(viewing), rung, over_share }
     }
 
     /// Changes a viewing and keeps in step what is counted of it: the waiting, a server's held and its rates.
@@ -61,7 +50,7 @@
     pub(super) fn count(&mut self, viewing: &Viewing, sign: f64) {
         let rate = self.rate(viewing.wish.package, viewing.rung) * sign;
         let size = self.size(viewing.wish.package) * sign;
-        let (now, keep, asker) = (self.now, self.terms.seen_after * 2.0, self.asker(viewing));
+        let (now, old, asker) = (self.now, self.fresh_from(), self.asker(viewing));
         if viewing.out() {
             let seated = self.seated.entry((viewing.wish.title.clone(), viewing.wish.package)).or_default();
             *seated = if sign > 0.0 { *seated + 1 } else { seated.saturating_sub(1) };
@@ -79,8 +68,7 @@
             server.census.remove(asker, &viewing.wish.vw);
         }
         server.own = added(server.own, (rate, size));
-        server.ledger.drain(..server.ledger.partition_point(|it| now - it.0 > keep));
-        server.ledger.push_back((now, (rate, size)));
+        server.past.change(now, old, (rate, size));
         let (look_at, is_empty) = (server.look_at, server.census.is_empty());
         let rack = Rack(server.entry.cell.0 % self.terms.racks.max(1));
         if was_empty != is_empty {
@@ -95,7 +83,7 @@
         let uplink = self.uplinks.entry(rack).or_default();
         uplink.own = added(uplink.own, (rate, size));
         self.own = added(self.own, (rate, size));
-        self.past.change(now, self.fresh_from(), (rate, size));
+        self.past.change(now, old, (rate, size));
         let least = self.rate(viewing.wish.package, self.package(viewing).floor);
         self.spared_all = (self.spared_all + self.spared(&asker) * rate).max(0.0);
         self.least_kb = (self.least_kb + least * sign).max(0.0);
@@ -119,7 +107,7 @@
         self.rack_of(server.entry.cell)
     }
 
-    pub(super) fn rack_of(&self, cell: Cell) -> Rack {
+    fn rack_of(&self, cell: Cell) -> Rack {
         Rack(cell.0 % self.terms.racks.max(1))
     }
 
@@ -139,19 +127,14 @@
         self.plain_rate(rung) * self.size(package)
     }
 
-    pub(super) fn middle_kb(&self) -> f64 {
-        self.terms.ladder_kb.get(self.terms.ladder_kb.len() / 2).copied().unwrap_or(1.0)
-    }
-
     pub(super) fn note_on_link(&mut self, server: &ServerId, asked: f64, at: Ms) {
         self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (asked, at));
     }
 
-    /// Servers that were replaced would add up for as long as the manager runs: one that has long been off the list
-    /// and holds nothing is dropped.
-    fn forget_gone(&mut self) {
-        let (now, cold) = (self.now, &self.terms.cold);
-        let long = cold.lasts.max(cold.fall_window).max(self.terms.seen_after) * FORGOTTEN;
+    /// Servers that were replaced would add up for as long as the manager runs: one that has been off the list for
+    /// longer than that and holds nothing is dropped.
+    pub(super) fn forget_gone(&mut self, long: Ms) {
+        let now = self.now;
         for it in self.servers.values_mut() {
             let gone = it.entry.availability == Availability::Gone;
             it.off_since = if gone { it.off_since.or(Some(now)) } else { None };
@@ -183,7 +166,6 @@
     }
 
     pub(super) fn count_places(&mut self) {
-        self.forget_gone();
         let up = self.servers.values().filter(|it| it.entry.availability == Availability::Up);
         let places = up.filter_map(|it| self.terms.places.get(&it.entry.kind));
         let (sum, count) = places.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
@@ -208,17 +190,17 @@
         }
     }
 
-    /// Summed anew once a moment: when thousands come at once, each would go through the whole rack.
-    pub(super) fn counted(&self, uplink: &Uplink) -> f64 {
-        let (at, mut asked, own) = uplink.counted.get();
+    /// What a rack's servers that are up come to, each weighed so, and what this manager added meanwhile. Summed anew
+    /// once a moment: when thousands come at once, each would go through the whole rack.
+    pub(super) fn summed(&self, uplink: &Uplink, weigh: impl Fn(&Server) -> f64) -> f64 {
+        let (at, mut sum, own) = uplink.counted.get();
         if at != self.now {
             let all = uplink.servers.iter().map(|id| &self.servers[id]);
-            let up = all.filter(|it| it.entry.availability == Availability::Up);
-            asked = up.map(|it| self.link_used(it).min(1.0) * self.link_kb(it)).sum::<f64>();
-            uplink.counted.set((self.now, asked, uplink.own.0));
+            sum = all.filter(|it| it.entry.availability == Availability::Up).map(weigh).sum::<f64>();
+            uplink.counted.set((self.now, sum, uplink.own.0));
         } else {
-            asked += uplink.own.0 - own;
+            sum += uplink.own.0 - own;
         }
-        asked / self.terms.uplink_kb.max(1.0)
+        sum
     }
 }
--- /dev/null
+++ b/src/brain/limits.rs
@@ -0,0 +1,58 @@
+//! What a viewing may be given at all: rules 2, 5 and 6, and its tenant's share.
+
+use super::*;
+
+impl Brain {
+    /// True for an arrival past its tenant's share: this manager's equal part of it, with a root margin,
+    /// since tenants lean. Only what is within is counted, so that a crowd still gets the share itself.
+    pub(super) fn over_share(&mut self, tenant: TenantIx) -> bool {
+        let fade = self.terms.cold.lasts.max(Ms(1e3));
+        let allowed = self.terms.tenants[tenant.0].allowance_per_s * (fade / Ms(1e3));
+        let part = allowed / self.terms.managers.max(1.0);
+        let over = self.arrivals[tenant.0].read(self.now, fade) >= part + SHARE_PHI * part.sqrt();
+        if !over {
+            self.arrivals[tenant.0].add(self.now, fade, 1.0);
+        }
+        over
+    }
+
+    /// Rules 2 and 6, and the limit on tune-ins.
+    pub(super) fn may_tune_in(&self, viewing: &Viewing) -> bool {
+        let count = viewing.tune_ins.len();
+        let safe = self.package(viewing).repeat != Repeat::AtMostOnce || viewing.never_ran();
+        count == 0 || (safe && self.budget_left() && count < self.terms.max_tune_ins)
+    }
+
+    pub(super) fn budget_left(&self) -> bool {
+        self.terms.budget.is_none_or(|budget| {
+            // What lies on a window's edge counts against it: no clock tells on which side.
+            let recent = |times: &VecDeque<Ms>, span: Ms| {
+                (times.len() - times.partition_point(|at| self.now - *at >= span)) as f64
+            };
+            let (tick, span) = (self.terms.tick, budget.span);
+            let taken = recent(&self.taken, span - tick);
+            recent(&self.further, span + tick) + 1.0 <= budget.free + budget.ratio * taken
+        })
+    }
+
+    /// Rule 5: seats, set-ups included; and no rung is both the floor's and one that the viewer can use.
+    pub(super) fn seat_free(&self, viewing: &Viewing) -> bool {
+        let (wish, package) = (&viewing.wish, self.package(viewing));
+        let taken = self.seated.get(&(wish.title.clone(), wish.package)).copied().unwrap_or(0);
+        wish.best >= package.floor && (package.seats == 0 || taken < package.seats)
+    }
+
+    /// Rule 2 for a deduplicated package: what may have run goes on only in its group and its window.
+    pub(super) fn same_group(&self, viewing: &Viewing, server: &Server) -> bool {
+        let Repeat::Deduplicated { group, window } = self.package(viewing).repeat else { return true };
+        viewing.tune_ins.iter().filter(|it| it.may_have_run()).all(|it| {
+            let earlier = self.servers.get(&it.server).map(|it| &it.entry);
+            self.now - it.sent < window
+                && match group {
+                    Group::All => true,
+                    Group::SameZone => earlier.is_some_and(|it| it.zone == server.entry.zone),
+                    Group::SameCell => earlier.is_some_and(|it| it.cell == server.entry.cell),
+                }
+        })
+    }
+}
--- /dev/null
+++ b/src/brain/pace.rs
@@ -0,0 +1,57 @@
+//! How fast a cold server is filled, and how long one that failed is left alone.
+
+use super::*;
+
+impl Brain {
+    /// Rule 4: this manager's part of what a cold server takes in any window. Where that is under one, as
+    /// many managers as half a window bears have a turn together, a window long: any window touches two.
+    pub(super) fn pace_allows(&self, server: &Server) -> bool {
+        let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
+        let sure = server.failures == 0 && self.now >= self.unsure_until;
+        if cold.lasts <= Ms(0.0) || (sure && self.now >= server.cold_until) {
+            return true;
+        }
+        let places = self.terms.places.get(&server.entry.kind).copied().unwrap_or(0.0);
+        // Set-ups of a package may weigh more than the mean of all.
+        let weight = if self.terms.packages.len() > 1 { 1.5 } else { 1.0 };
+        let pace = places / cold.lasts.0 * cold.start_capacity * cold.fall_multiple / weight;
+        let all = (pace * cold.fall_window.0).floor();
+        let since = |start: Ms| server.sent.iter().filter(|at| **at > start).count() as f64;
+        let mine = (all / managers).floor();
+        if mine >= 1.0 {
+            return since(self.now - cold.fall_window) < mine;
+        }
+        let length = cold.fall_window * if all >= 2.0 { 1.0 } else { 2.0 };
+        let turn = (self.now / length).floor();
+        let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
+        let together = (all / 2.0).floor().max(1.0);
+        let shift = name_sum(&server.entry.server.to_string());
+        let whose = (turn + shift as f64).rem_euclid((managers / together).ceil());
+        let my_turn = whose == (self.terms.me.0 as f64 / together).floor();
+        my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
+    }
+
+    /// Takes note of how a tune-in, a viewing or a probe ended.
+    pub(super) fn judge(&mut self, server: &ServerId, outcome: Outcome) {
+        let (join, gap) = (self.join_target(), self.note_gap());
+        let Some(server) = self.servers.get_mut(server) else { return };
+        let shunned = self.now < server.shunned_until;
+        match outcome {
+            Outcome::Served => {
+                // It answers: if it had failed it may have restarted, at the latest just now.
+                if server.failures > 0 {
+                    server.failures = 0;
+                    server.cold_until = server.cold_until.max(self.now + self.terms.cold.lasts);
+                }
+                server.shunned_until = Ms::LONG_AGO;
+            }
+            Outcome::TurnedAway => server.shunned_until = self.now + gap * AWAY,
+            Outcome::NoConnection | Outcome::ConnectionLost | Outcome::NoAnswer if !shunned => {
+                server.failures += 1;
+                let spell = join * 2f64.powi(server.failures.min(8) as i32 - 1);
+                server.shunned_until = self.now + spell.min(self.terms.cold.lasts);
+            }
+            _ => {}
+        }
+    }
+}
--- a/src/census.rs
+++ b/src/census.rs
@@ -2,10 +2,21 @@
 //! in here.
 
 use crate::ids::{PackageIx, Rung, ViewingId};
-use crate::state::Own;
 use crate::time::Ms;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// What viewings ask in kB a second, and over the ladder's rates: their number, each by its package.
+pub type Own = (f64, f64);
+
+pub fn added(a: Own, b: Own) -> Own {
+    // Nothing held asks nothing, whatever fractions are left over.
+    if a.1 + b.1 < 1e-6 {
+        (0.0, 0.0)
+    } else {
+        (a.0 + b.0, a.1 + b.1)
+    }
+}
+
 /// A viewing's part in the split of a server; those alike in all of it are alike to every decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Asker {
@@ -27,17 +38,21 @@
 
 /// Of the askers like that one, so many at another rung.
 pub fn moved(askers: &[Counted], from: Asker, count: f64, rung: usize) -> Vec<Counted> {
-    let to = Asker { rung: Rung(rung), ..from };
     let mut after: Vec<Counted> = askers.to_vec();
     after.iter_mut().filter(|it| it.0 == from).for_each(|it| it.1 -= count);
-    match after.iter_mut().find(|it| it.0 == to) {
-        Some(there) => there.1 += count,
-        None => after.push((to, count)),
-    }
+    put(&mut after, Asker { rung: Rung(rung), ..from }, count);
     after.retain(|it| it.1 > 0.0);
     after
 }
 
+/// So many more like that one.
+pub fn put(askers: &mut Vec<Counted>, one: Asker, count: f64) {
+    match askers.iter_mut().find(|it| it.0 == one) {
+        Some(there) => there.1 += count,
+        None => askers.push((one, count)),
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Rank {
     all: BTreeSet<ViewingId>,
@@ -83,7 +98,7 @@
     }
 }
 
-/// What all that a manager holds asked before now.
+/// What a manager's viewings asked before now, at one server or in all.
 #[derive(Clone, Debug, Default)]
 pub struct Past {
     /// Changes, newest last.
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -3,6 +3,12 @@
 /// A multiply-with-carry generator.
 pub struct Chance(pub u64);
 
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance(1)
+    }
+}
+
 impl Chance {
     /// From just above 0 to 1.
     pub fn part(&mut self) -> f64 {
@@ -14,3 +20,11 @@
         (((self.0 & 0xffff_ffff) * limit as u64) >> 32) as usize
     }
 }
+
+/// Which of these parts, laid end to end, that point lies in; none if it lies past them all.
+pub fn along(mut parts: impl Iterator<Item = f64>, mut point: f64) -> Option<usize> {
+    parts.position(|part| {
+        point -= part;
+        point < 0.0
+    })
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -5,7 +5,7 @@
 
 macro_rules! name_ids {
     ($($id:ident),*) => {$(
-        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $id(Rc<str>);
 
         impl From<&str> for $id {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -47,7 +47,7 @@
     pub span: Ms,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ColdPace {
     pub lasts: Ms,
     pub start_capacity: f64,
@@ -55,7 +55,7 @@
     pub fall_window: Ms,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub me: ManagerIx,
     pub managers: f64,
