--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
-//! All decisions of ottersail, each kind in a room of its own under src/brain/. The adapter calls one method of
-//! [`Brain`] for each input; it notes what was told and then goes through `RULES` in order, again from the top,
-//! until none fires. What is decided goes out through `Answers` (src/answers.rs); the shapes are in src/state.rs,
-//! the start-up terms in src/terms.rs. docs/design.md says where each rule comes from, docs/on-call.md what is
-//! seen in trouble.
+//! All decisions of ottersail, each kind in a room of its own under src/brain/. The adapter calls one method
+//! of [`Brain`] for each input; it notes what was told and then goes through `RULES` in order, again from the
+//! top, until none fires. What is decided goes out through `Answers` (src/answers.rs); the shapes are in
+//! src/state.rs, the start-up terms in src/terms.rs. docs/design.md says where each rule comes from and which
+//! room to look in, docs/on-call.md what is seen in trouble.
 
 mod constants;
 mod ledger;
--- a/src/brain/links.rs
+++ b/src/brain/links.rs
@@ -45,8 +45,8 @@
         pipe.capacity() * fill * n / (n + self.others(pipe)).max(1e-6)
     }
 
-    /// The others' viewings, whether they belong to one manager or to hundreds: what they ask over the mean rate
-    /// of the ladder, that of this manager's viewings there, else of all it holds and a middle one.
+    /// The others' viewings, whether they belong to one manager or to hundreds: what they ask over the mean
+    /// rate of the ladder, that of this manager's viewings there, else of all it holds and a middle one.
     pub(super) fn others(&self, pipe: &Pipe) -> f64 {
         let there = Some(pipe.seen.own).filter(|own| own.1 > 0.0);
         let (kb, n) = there.unwrap_or(added(self.own, (self.middle_kb(), 1.0)));
--- a/tests/history/inputs.rs
+++ b/tests/history/inputs.rs
@@ -74,7 +74,7 @@
 }
 
 pub fn unreported() -> Terms {
-    Terms { uplinks_reported: false, uplink_kb: 90.0, worth: vec![0.2, 0.5, 0.8, 1.0], ..terms() }
+    Terms { uplinks_reported: false, uplink_kb: 300.0, worth: vec![0.2, 0.5, 0.8, 1.0], ..terms() }
 }
 
 pub fn probed() -> Terms {
--- a/tests/history/main.rs
+++ b/tests/history/main.rs
@@ -69,8 +69,8 @@
         (0..SERVERS).map(|no| Entry { started: None, ..entry(&mut dice, no, now) }).collect();
     brain.members(now, ListMode::Full, &list, &mut world);
     for no in 0..STEPS {
-        // Calm and crowds by turns; now and then several inputs in one moment.
-        let crowd = no / 300 % 2 == 1;
+        // Calm and crowds by turns, and spells in which delivery is short though links are not full; now and then several inputs in one moment.
+        let (crowd, short) = (no / 300 % 2 == 1, no / 500 % 2 == 1);
         if dice.below(3) > 0 {
             now = now + Ms(if crowd { 25.0 } else { 90.0 } * dice.part());
         }
@@ -97,9 +97,11 @@
             }
             (14..=19, Some((vw, (server, _, true)))) => {
                 let (topic, value) = match dice.below(8) {
-                    0..=3 => (Topic::LinkAsked, 0.3 + dice.part()),
+                    0..=3 => (Topic::LinkAsked, 0.3 + dice.part() * if short { 0.6 } else { 1.0 }),
                     4 | 5 => (Topic::UplinkAsked, 0.4 + dice.part() * 0.8),
-                    6 => (Topic::ShareDelivered, (0.8 + dice.part() * 0.4).min(1.0)),
+                    6 => {
+                        (Topic::ShareDelivered, (0.8 + dice.part() * if short { 0.2 } else { 0.4 }).min(1.0))
+                    }
                     _ => (Topic::RungInForce, dice.below(4) as f64),
                 };
                 brain.change(now, &vw, topic, value, &server, &mut world);
@@ -132,11 +134,11 @@
     world
 }
 
-#[test_case(terms(), 13470, 0xd6bb_7340_986d_2429; "uplinks reported")]
-#[test_case(unreported(), 11470, 0x79d1_29a6_9134_24ad; "uplinks not reported")]
-#[test_case(probed(), 12360, 0x601d_35e8_00d6_56d8; "load on probes only")]
-#[test_case(live(), 14511, 0x66cf_cdc9_85aa_3cb4; "live titles")]
-#[test_case(many(), 10840, 0xe76b_8d83_1ba0_28a6; "many managers")]
+#[test_case(terms(), 13545, 0xf55b_25e8_a800_e781; "uplinks reported")]
+#[test_case(unreported(), 13057, 0x2da2_f941_b6ca_47ed; "uplinks not reported")]
+#[test_case(probed(), 13432, 0xd272_3326_b41f_6edf; "load on probes only")]
+#[test_case(live(), 14472, 0x2d8c_6293_5ccc_d957; "live titles")]
+#[test_case(many(), 12054, 0xa8d0_2742_b751_338a; "many managers")]
 fn the_same_is_answered_to_a_long_history(terms: Terms, said: usize, sum: u64) {
     let all: Vec<World> = (1..=6).map(|seed| play(terms.clone(), seed * 0x9e37_79b9)).collect();
     let one = all.iter().fold(0, |sum: u64, it| sum.rotate_left(7) ^ it.sum);
