Comments and test rows of the decisions within 110 characters

Some lines grew past the bound when they moved, others had lain past it before. Wrapped; no code changed.

--- a/src/brain/ledger.rs
+++ b/src/brain/ledger.rs
@@ -131,8 +131,8 @@
         self.servers.get_mut(server).into_iter().for_each(|it| it.link_note = (asked, at));
     }
 
-    /// Servers that were replaced would add up for as long as the manager runs: one that has been off the list
-    /// for longer than that and holds nothing is dropped.
+    /// Servers that were replaced would add up for as long as the manager runs: one that has been off the
+    /// list for longer than that and holds nothing is dropped.
     pub(super) fn forget_gone(&mut self, long: Ms) {
         let now = self.now;
         for it in self.servers.values_mut() {
@@ -190,8 +190,8 @@
         }
     }
 
-    /// What a rack's servers that are up come to, each weighed so, and what this manager added meanwhile. Summed
-    /// anew once a moment: when thousands come at once, each would go through the whole rack.
+    /// What a rack's servers that are up come to, each weighed so, and what this manager added meanwhile.
+    /// Summed anew once a moment: when thousands come at once, each would go through the whole rack.
     pub(super) fn summed(&self, uplink: &Uplink, weigh: impl Fn(&Server) -> f64) -> f64 {
         let (at, mut sum, own) = uplink.counted.get();
         if at != self.now {
--- a/src/brain/tests/costs.rs
+++ b/src/brain/tests/costs.rs
@@ -4,8 +4,8 @@
 use super::*;
 
 /// Microseconds by viewings held, the kept form beside the plain one. The plain one's are only those of what
-/// a decision needs of counts: for a set-up the askers, bound and split of two holders, for a note the askers, who
-/// goes next, and the mean of all that was noted.
+/// a decision needs of counts: for a set-up the askers, bound and split of two holders, for a note the
+/// askers, who goes next, and the mean of all that was noted.
 /// `cargo test --release -p ottersail what_a_decision_costs -- --ignored --nocapture`
 #[test]
 #[ignore = "it measures, for half a minute"]
--- a/src/brain/tests/limits.rs
+++ b/src/brain/tests/limits.rs
@@ -7,7 +7,9 @@
 #[test_case(Repeat::AtMostOnce, Outcome::NoAnswer, "abort", false; "unsafe that may have run")]
 #[test_case(Repeat::AtMostOnce, Outcome::CalledOff, "abort", false; "unsafe that was called off")]
 #[test_case(Repeat::Idempotent, Outcome::NoAnswer, "shed", true; "idempotent")]
-#[test_case(Repeat::Deduplicated { group: Group::SameZone, window: Ms(9e9) }, Outcome::NoAnswer, "abort", true; "group")]
+#[test_case(
+    Repeat::Deduplicated { group: Group::SameZone, window: Ms(9e9) }, Outcome::NoAnswer, "abort", true; "group"
+)]
 fn rule_2_what_may_have_run(repeat: Repeat, outcome: Outcome, last_word: &str, again: bool) {
     let mut terms = terms();
     terms.packages[0].repeat = repeat;
--- a/src/brain/tests/pace.rs
+++ b/src/brain/tests/pace.rs
@@ -3,7 +3,8 @@
 use super::*;
 use test_case::test_case;
 
-// 48 places over 10 s, half warm, 4 times that for 1 s, over 1.5 as packages differ: 6.4, so 3 for each of two.
+// 48 places over 10 s, half warm, 4 times that for 1 s, over 1.5 as packages differ: 6.4, so 3 for each of
+// two.
 #[test_case(Ms(100_001.0), 0, 2, true; "cold, paced")]
 #[test_case(Ms(100_001.0), 0, 3, false; "cold, its part is used up")]
 #[test_case(Ms::LONG_AGO, 0, 9, true; "warm")]
@@ -45,7 +46,8 @@
         .all(|end| sent.iter().filter(|at| end - 1000.0 < **at && *at <= end).count() <= most));
 }
 
-// With a turn of a fifteenth of a window for each of 300 managers, a tenth of what a cold server takes was sent.
+// With a turn of a fifteenth of a window for each of 300 managers, a tenth of what a cold server takes was
+// sent.
 #[test]
 fn rule_4_turns_are_long_enough_to_be_used() {
     let sent = |me| {
--- a/src/brain/tests/pick.rs
+++ b/src/brain/tests/pick.rs
@@ -80,8 +80,8 @@
     assert_eq!(it.has_room(&viewing, &it.servers[&"s0".into()]), room);
 }
 
-/// Of two thousand viewings at four holders, one with four times the link of the others, those that it gets. Nothing is
-/// known of any of them; the picks are two, the first of which is taken where both are used alike.
+/// Of two thousand viewings at four holders, one with four times the link of the others, those that it gets.
+/// Nothing is known of any of them; the picks are two, the first of which is taken where both are used alike.
 #[test_case(false, 950..=1200; "load is told by notes: by what they give, 4 in 7")]
 #[test_case(true, 450..=550; "both are asked first: one in four")]
 fn holders_that_were_not_heard_of_are_drawn_by_what_they_give(
--- a/src/brain/tests/plain.rs
+++ b/src/brain/tests/plain.rs
@@ -1,4 +1,5 @@
-//! The split, the counts and the means as they are defined, without any index: the indexed ones must say the same.
+//! The split, the counts and the means as they are defined, without any index: the indexed ones must say the
+//! same.
 
 use super::*;
 use proptest::prelude::*;
@@ -165,7 +166,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 150, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn what_is_kept_is_what_is_defined(
--- a/src/brain/tests/probes.rs
+++ b/src/brain/tests/probes.rs
@@ -18,7 +18,8 @@
     said
 }
 
-// Load that only probes tell is asked of the two picks; the viewing goes to the emptier once both have answered.
+// Load that only probes tell is asked of the two picks; the viewing goes to the emptier once both have
+// answered.
 #[test]
 fn the_picks_are_asked_first() {
     let mut it = brain(probing(), 2);
--- a/src/brain/tests/rules.rs
+++ b/src/brain/tests/rules.rs
@@ -49,7 +49,9 @@
     assert_eq!(said.0, expected);
 }
 
-#[test_case(Terms { ladder_kb: vec![], packages: vec![Package { top: Rung(0), ..package(1.0) }], ..terms() }; "no ladder")]
+#[test_case(
+    Terms { ladder_kb: vec![], packages: vec![Package { top: Rung(0), ..package(1.0) }], ..terms() }; "no ladder"
+)]
 #[test_case(Terms { link_unit_kb: 0.0, uplink_kb: 0.0, ..terms() }; "zero capacity")]
 #[test_case(Terms { managers: 0.0, cells: 0, racks: 0, ..terms() }; "no managers, cells or racks")]
 #[test_case(Terms { reports_every: Ms(0.0), seen_after: Ms(0.0), tick: Ms(0.0), ..terms() }; "no notes")]
--- a/src/brain/tests/steps.rs
+++ b/src/brain/tests/steps.rs
@@ -50,7 +50,8 @@
     assert_eq!(said.0, expected);
 }
 
-// Alone at a server a manager outgrew its part with each step up and took it back a moment later, at a link half used.
+// Alone at a server a manager outgrew its part with each step up and took it back a moment later, at a link
+// half used.
 #[test_case(30.0, &[]; "a step up may outgrow a part while the whole holds")]
 #[test_case(12.0, &["a to 2"]; "not once the whole is broken")]
 fn a_step_into_what_is_free_is_not_taken_back(link_kb: f64, expected: &[&str]) {
--- a/src/brain/tests/uplinks.rs
+++ b/src/brain/tests/uplinks.rs
@@ -54,7 +54,8 @@
     assert_eq!(it.uplinks[&Rack(0)].seen.map(|it| it.asked), uplink);
 }
 
-// One link lost most of its rate in a rack a little short: all of it was laid to the uplink and the rack was shut.
+// One link lost most of its rate in a rack a little short: all of it was laid to the uplink and the rack was
+// shut.
 #[test_case(0.3, Some(1.0 / 0.3), None; "far under the best of the rack is the link")]
 #[test_case(0.88, None, Some(1.0 / 0.9); "an uplink gives no less than the best gets")]
 fn a_sudden_loss_at_one_link(share: f64, link: Option<f64>, uplink: Option<f64>) {
--- a/src/census.rs
+++ b/src/census.rs
@@ -1,5 +1,5 @@
-//! Counts that are kept as things change, so that a decision need not go through all that is held. No decision
-//! lies in here; bounds are given.
+//! Counts that are kept as things change, so that a decision need not go through all that is held. No
+//! decision lies in here; bounds are given.
 
 use crate::ids::{PackageIx, Rung, ViewingId};
 use crate::time::Ms;
--- a/tests/history/main.rs
+++ b/tests/history/main.rs
@@ -69,7 +69,8 @@
         (0..SERVERS).map(|no| Entry { started: None, ..entry(&mut dice, no, now) }).collect();
     brain.members(now, ListMode::Full, &list, &mut world);
     for no in 0..STEPS {
-        // Calm and crowds by turns, and spells in which delivery is short though links are not full; now and then several inputs in one moment.
+        // Calm and crowds by turns, and spells in which delivery is short though links are not full; now and
+        // then several inputs in one moment.
         let (crowd, short) = (no / 300 % 2 == 1, no / 500 % 2 == 1);
         if dice.below(3) > 0 {
             now = now + Ms(if crowd { 25.0 } else { 90.0 } * dice.part());
