--- a/front/src/baseline.rs
+++ b/front/src/baseline.rs
@@ -1,5 +1,6 @@
-//! Plain picks, for comparison only, in the laboratory, in benchmarks and on the rig: no split, no pace, no budget, no health, no
-//! steps. They keep what a manager can't do without: floors, and one tune-in for each viewing.
+//! Plain picks, for comparison only, in the laboratory, in benchmarks and on the rig: no split, no pace, no
+//! budget, no health, no steps. They keep what a manager can't do without: floors, and one tune-in for each
+//! viewing.
 
 use crate::decisions::{Decisions, Ended};
 use crate::ids::{BellTag, Cell, PackageIx, ServerId, TenantIx, ViewingId};
--- a/front/src/decisions.rs
+++ b/front/src/decisions.rs
@@ -1,4 +1,5 @@
-//! What the front tells the decisions. Those of this project are [`Brain`]; only benchmarks put another in its place.
+//! What the front tells the decisions. Those of this project are [`Brain`]; only benchmarks put another in
+//! its place.
 
 use ottersail::answers::Answers;
 use ottersail::brain::Brain;
--- /dev/null
+++ b/front/src/front/tune_ins.rs
@@ -0,0 +1,148 @@
+//! Tune-ins: each one sent, and how it ended.
+
+use super::desk::Desk;
+use super::hand::Hand;
+use super::owed::{Alarm, Place};
+use super::Front;
+use crate::decisions::Ended;
+use crate::orders::{Orders, SetUp, SetUpEnd};
+use crate::watch::{Play, Stage};
+use ottersail::ids::{ServerId, TuneInNo, ViewingId};
+use ottersail::state::{Load, Outcome, Topic};
+use ottersail::time::Ms;
+use ottersail_hls::Source;
+use ottersail_wire::report::Report;
+use std::rc::Rc;
+use tracing::{debug, info, warn};
+
+impl Front {
+    /// A set-up that was sent came to its end.
+    pub fn set_up_ended(
+        &mut self,
+        now: Ms,
+        vw: &ViewingId,
+        no: usize,
+        end: SetUpEnd,
+        report: Report,
+        out: &mut dyn Orders,
+    ) {
+        let desk = self.at(now);
+        let Some(seat) = desk.seats.get_mut(vw) else {
+            return;
+        };
+        if seat.place != Place::Out || seat.tune_ins != no + 1 {
+            return;
+        }
+        let (server, rung) = (seat.server.clone(), seat.rung);
+        let outcome = match end {
+            SetUpEnd::Playing { playlist } => {
+                let key = (
+                    desk.watches.get(&seat.watch).map_or(String::new(), |it| it.asked.title.clone()),
+                    rung.0,
+                );
+                match desk.source(key, playlist.as_bytes()) {
+                    Ok(source) => return self.plays(vw, &server, source, report, out),
+                    Err(trouble) => {
+                        warn!(viewing = %vw, server = %server, cause = %trouble, "unfit playlist");
+                        let address = desk.seats[vw].address.clone();
+                        out.call_off(vw, no, &server, &address);
+                        Outcome::ServerError
+                    }
+                }
+            }
+            SetUpEnd::TurnedAway => Outcome::TurnedAway,
+            SetUpEnd::ServerError => Outcome::ServerError,
+            SetUpEnd::NoConnection => Outcome::NoConnection,
+            SetUpEnd::ConnectionLost => Outcome::ConnectionLost,
+            SetUpEnd::NotSent => Outcome::NotSent,
+        };
+        self.tune_in_failed(vw, outcome, load(report), out);
+    }
+
+    fn plays(
+        &mut self,
+        vw: &ViewingId,
+        server: &ServerId,
+        source: Rc<Source>,
+        report: Report,
+        out: &mut dyn Orders,
+    ) {
+        let Front { brain, desk } = self;
+        let now = desk.now;
+        desk.timers.cancel(&Alarm::TuneIn(vw.clone()));
+        let Some(seat) = desk.seats.get_mut(vw) else {
+            return;
+        };
+        seat.place = Place::Playing;
+        let (id, address, rung) = (seat.watch.clone(), seat.address.clone(), seat.rung);
+        info!(viewing = %vw, server = %server, rung = rung.0, tune_ins = seat.tune_ins, "plays");
+        desk.counts.played += 1;
+        let there = desk.there.entry(server.clone()).or_default();
+        if there.is_empty() {
+            out.listen(server, &address);
+        }
+        there.insert(vw.clone());
+        desk.play(&id, Play { vw: vw.clone(), address, rung, source }, out);
+        brain.first(now, vw, server, &mut Hand { desk, out });
+        for (topic, value) in [(Topic::LinkAsked, report.link), (Topic::UplinkAsked, report.uplink)] {
+            if let Some(value) = value {
+                self.brain.change(now, vw, topic, value, server, &mut Hand { desk: &mut self.desk, out });
+            }
+        }
+    }
+
+    pub(super) fn tune_in_failed(
+        &mut self,
+        vw: &ViewingId,
+        outcome: Outcome,
+        load: Load,
+        out: &mut dyn Orders,
+    ) {
+        let Front { brain, desk } = self;
+        let now = desk.now;
+        desk.timers.cancel(&Alarm::TuneIn(vw.clone()));
+        let Some(seat) = desk.seats.get_mut(vw) else {
+            return;
+        };
+        seat.place = Place::Waiting;
+        let (no, server) = (seat.tune_ins - 1, seat.server.clone());
+        debug!(viewing = %vw, server = %server, no, ?outcome, "tune-in failed");
+        let ended = Ended { no: TuneInNo(no), server, outcome, last: false };
+        brain.answer(now, vw, ended, load, &mut Hand { desk, out });
+    }
+}
+
+impl Desk {
+    pub(super) fn relay(&mut self, vw: &ViewingId, server: &ServerId, time_out: Ms, out: &mut dyn Orders) {
+        let Some(seat) = self.seats.get_mut(vw) else {
+            return;
+        };
+        let Some(watch) = self.watches.get(&seat.watch) else {
+            return;
+        };
+        let (address, no) = (self.addresses.get(server).cloned().unwrap_or_default(), seat.tune_ins);
+        (seat.place, seat.tune_ins, seat.server) = (Place::Out, no + 1, server.clone());
+        seat.address = address.clone();
+        self.counts.tune_ins += 1;
+        self.timers.set(Alarm::TuneIn(vw.clone()), self.now + time_out);
+        info!(viewing = %vw, server = %server, rung = seat.rung.0, no, time_out = time_out.0, "tune-in");
+        out.set_up(&SetUp {
+            vw: vw.clone(),
+            no,
+            server: server.clone(),
+            address,
+            title: watch.asked.title.as_str().into(),
+            package: watch.asked.package.clone(),
+            rung: seat.rung,
+            ask: match &watch.stage {
+                Stage::Waiting { asks, .. } => asks.first().copied(),
+                _ => None,
+            },
+            send_by: self.now + time_out.min(self.house.send_within),
+        });
+    }
+}
+
+pub(super) fn load(report: Report) -> Load {
+    Load { streams: None, link: None, link_uncapped: report.link, uplink: report.uplink }
+}
--- a/front/src/presence.rs
+++ b/front/src/presence.rs
@@ -1,14 +1,15 @@
-//! When a viewer counts as gone, how far ahead a playlist is published, and how patience is shared with the way
-//! of the answer.
+//! When a viewer counts as gone, how far ahead a playlist is published, and how patience is shared with the
+//! way of the answer.
 
 use ottersail::time::Ms;
 
 /// This part of a viewer's patience is left for the answer's way back and for what waits before it.
 const WAY_BACK: f64 = 1.0 / 16.0;
-/// Targets' worth of segments published ahead of where the viewing is by the clock. A player keeps three (RFC 8216,
-/// 6.3.3); a step is seen that much later.
+/// Targets' worth of segments published ahead of where the viewing is by the clock. A player keeps three (RFC
+/// 8216, 6.3.3); a step is seen that much later.
 const AHEAD: f64 = 3.0;
-/// A player reloads after a target, or half of one where nothing was new (6.3.4); after so many without, it left.
+/// A player reloads after a target, or half of one where nothing was new (6.3.4); after so many without, it
+/// left.
 const SILENT: f64 = 4.0;
 /// After the end has been published a player reloads no more; it is given this many targets to play it out.
 const PLAY_OUT: f64 = 2.0;
--- a/front/src/roster.rs
+++ b/front/src/roster.rs
@@ -1,6 +1,6 @@
-//! Which list of servers to believe. A catalogue's index only grows; when it goes back, either an old answer came
-//! late or from a replica that lags, or the catalogue began anew. What was said of draining and gone servers must not
-//! be forgotten for the first, nor the new list refused for ever for the second.
+//! Which list of servers to believe. A catalogue's index only grows; when it goes back, either an old answer
+//! came late or from a replica that lags, or the catalogue began anew. What was said of draining and gone
+//! servers must not be forgotten for the first, nor the new list refused for ever for the second.
 
 use ottersail::ids::ServerId;
 use ottersail::state::{Availability, Entry};
@@ -37,8 +37,9 @@
                 changed.push(entry);
             }
         }
-        // What an older list does not name may be gone or not yet have come: nothing new goes there until a newer one
-        // names it. Found by a rehearsal in which the list went back: new servers were used all the same.
+        // What an older list does not name may be gone or not yet have come: nothing new goes there until a
+        // newer one names it. Found by a rehearsal in which the list went back: new servers were used all the
+        // same.
         let lost = if older { Availability::Leaving } else { Availability::Gone };
         for entry in missing.into_values().filter(|it| it.availability != lost) {
             changed.push(Entry { availability: lost, ..entry });
--- /dev/null
+++ b/front/src/tests/requests.rs
@@ -0,0 +1,49 @@
+//! What is taken and what is not.
+
+use super::stage::{all_set_ups, has, playing, set_up, Stage};
+use crate::{AskId, Asked};
+use test_case::test_case;
+
+#[test]
+fn a_drain_blocks_what_is_new_and_answers_what_is_out() {
+    let mut stage = Stage::new();
+    let first = set_up(&stage.asks("clips"));
+    stage.does(|front, now, _| front.drain(now));
+    assert!(has(&stage.asks("clips"), "reply 2 Blocked { stay_away: Some(1000.0) }"));
+    assert_eq!(stage.front.waiting(), 1);
+    assert!(has(&stage.ends(&first, playing()), "reply 1 Playlist"));
+    assert_eq!(stage.front.waiting(), 0);
+}
+
+#[test]
+fn until_titles_are_told_nothing_is_taken_or_called_unknown() {
+    let mut stage = Stage::untold();
+    assert!(has(&stage.asks("clips"), "reply 1 Blocked { stay_away: Some(1000.0) }"));
+    let mut stage = stage.told();
+    assert_eq!(all_set_ups(&stage.asks("clips")).len(), 1);
+}
+
+#[test]
+fn a_full_queue_turns_away_what_it_has_not_taken() {
+    let mut stage = Stage::new();
+    for _ in 0..8 {
+        assert!(!has(&stage.asks("clips"), "reply"));
+    }
+    assert!(has(&stage.asks("clips"), "reply 9 Blocked"));
+    assert_eq!((stage.front.waiting(), stage.front.counts().turned_away_untaken), (8, 1));
+}
+
+#[test_case(|it| it.title = "x".into(), "Unknown"; "no such title")]
+#[test_case(|it| it.package = "x".into(), "Unfit"; "no such package")]
+#[test_case(|it| it.tenant = Some("x".into()), "Unfit"; "no such tenant")]
+#[test_case(|it| it.patience = f64::NAN, "Unfit"; "patience that is no number")]
+#[test_case(|it| it.patience = 1e18, "Unfit"; "endless patience")]
+fn what_can_be_no_request_is_not_taken(change: fn(&mut Asked), expected: &str) {
+    let mut stage = Stage::new();
+    let mut asked =
+        Asked { title: "t".into(), package: "clips".into(), tenant: None, best: 1, patience: 4000.0 };
+    change(&mut asked);
+    let said = stage.does(|front, now, out| front.asked(now, AskId(1), asked, out));
+    assert!(has(&said, expected) && said.len() == 1, "{said:?}");
+    assert_eq!(stage.front.viewings(), 0);
+}
--- a/front/src/timers.rs
+++ b/front/src/timers.rs
@@ -1,5 +1,5 @@
-//! All times that the front waits for, in one structure: ordered by time and, for equal times, by when they were set,
-//! so that equal inputs give equal outputs. A key has one time at most.
+//! All times that the front waits for, in one structure: ordered by time and, for equal times, by when they
+//! were set, so that equal inputs give equal outputs. A key has one time at most.
 
 use ottersail::time::Ms;
 use std::collections::BTreeMap;
