--- a/cores/src/bell.rs
+++ b/cores/src/bell.rs
@@ -19,7 +19,8 @@
         Bell(AtomicU8::new(RUNS))
     }
 
-    /// True if the thread sleeps, or is about to, and the caller must wake it; of several ringers one is told so.
+    /// True if the thread sleeps, or is about to, and the caller must wake it; of several ringers one is told
+    /// so.
     pub fn ring(&self) -> bool {
         self.0.swap(RUNG, Ordering::AcqRel) == SLEEPS
     }
@@ -65,7 +66,8 @@
     use loom::sync::Arc;
     use loom::thread;
 
-    /// Ringers put something down and ring. The sleeper either sees all of it or has been woken after it lay down.
+    /// Ringers put something down and ring. The sleeper either sees all of it or has been woken after it lay
+    /// down.
     fn ringers(count: usize) {
         loom::model(move || {
             let (bell, put, woken) =
--- a/cores/src/claim.rs
+++ b/cores/src/claim.rs
@@ -1,5 +1,6 @@
-//! A request is put by the core that holds its connection, taken by the owner of placement, and answered once, by
-//! whichever core comes first: the one that holds it, or another in its place if that one stands still.
+//! A request is put by the core that holds its connection, taken by the owner of placement, and answered
+//! once, by whichever core comes first: the one that holds it, or another in its place if that one stands
+//! still.
 
 #[cfg(loom)]
 use loom::sync::atomic::{AtomicU8, Ordering};
--- a/cores/src/lib.rs
+++ b/cores/src/lib.rs
@@ -1,5 +1,5 @@
-//! What the cores of one manager share, without I/O: [`Claim`] settles who answers a request, [`Spread`] which core
-//! gets a connection, [`Bell`] whether a thread must be woken.
+//! What the cores of one manager share, without I/O: [`Claim`] settles who answers a request, [`Spread`]
+//! which core gets a connection, [`Bell`] whether a thread must be woken.
 
 mod bell;
 mod claim;
--- a/cores/src/room.rs
+++ b/cores/src/room.rs
@@ -1,9 +1,11 @@
-//! Who does a viewing's errands at its server. The owner of placement does them itself while it has room: each hand to
-//! another core costs two wakings. When it has none, the core that holds the viewer's connection does them.
+//! Who does a viewing's errands at its server. The owner of placement does them itself while it has room:
+//! each hand to another core costs two wakings. When it has none, the core that holds the viewer's connection
+//! does them.
 
 /// The owner keeps the rest of its time for decisions: past this share of it, errands go to other cores.
 const BUSY: f64 = 0.5;
-/// What was seen of its time decays in so many milliseconds: several decisions' time, and well within a burst.
+/// What was seen of its time decays in so many milliseconds: several decisions' time, and well within a
+/// burst.
 const MEMORY: f64 = 250.0;
 /// Looks closer together than this tell nothing, in milliseconds.
 const CLOSE: f64 = 5.0;
@@ -21,8 +23,8 @@
         Room { looked: now, slept: 0.0, busy: 0.0 }
     }
 
-    /// A look at how long the owner has slept in all, in milliseconds. Time that the machine gave to others while the
-    /// owner had work counts as work: it has no room then either.
+    /// A look at how long the owner has slept in all, in milliseconds. Time that the machine gave to others
+    /// while the owner had work counts as work: it has no room then either.
     pub fn look(&mut self, now: f64, slept: f64) {
         let span = now - self.looked;
         if span < CLOSE {
@@ -53,8 +55,8 @@
     use super::*;
     use test_case::test_case;
 
-    /// The owner's share of work after `ms`, if a set-up costs it `placing` and, done by itself, `doing` more, in
-    /// milliseconds; and the share of set-ups that it did itself.
+    /// The owner's share of work after `ms`, if a set-up costs it `placing` and, done by itself, `doing`
+    /// more, in milliseconds; and the share of set-ups that it did itself.
     fn after(ms: f64, per_s: f64, placing: f64, doing: f64) -> (f64, f64) {
         let mut room = Room::new(0.0);
         let (mut now, mut slept, mut own, mut all) = (0.0, 0.0, 0.0, 0.0);
--- a/cores/src/spread.rs
+++ b/cores/src/spread.rs
@@ -1,5 +1,5 @@
-//! Which core gets the next connection: the one that has the fewest for its room. The owner of placement has less
-//! room, since every decision is made there.
+//! Which core gets the next connection: the one that has the fewest for its room. The owner of placement has
+//! less room, since every decision is made there.
 
 /// A set-up's work at the owner over its work at the core that holds the connection, as measured
 /// (docs/several-cores.md): by it the owner's room is what an even share of all work leaves it.
@@ -19,8 +19,8 @@
         Spread { room: (0..cores.max(1)).map(|it| if it == 0 { owner } else { other }).collect() }
     }
 
-    /// The core for the next connection, by how many each has open; those that stand still are passed over, unless
-    /// all do.
+    /// The core for the next connection, by how many each has open; those that stand still are passed over,
+    /// unless all do.
     pub fn next(&self, open: &[usize], still: &[bool]) -> usize {
         let filled = |it: &usize| {
             let room = self.room[*it].max(1e-9);
--- a/cores/src/vigil.rs
+++ b/cores/src/vigil.rs
@@ -19,8 +19,9 @@
     now - moved >= STILL
 }
 
-/// Whether another core answers now for one that stands still: at once if the owner has spoken, else at the last look
-/// before the last call, since the core may move again in time and the owner may still place the viewing.
+/// Whether another core answers now for one that stands still: at once if the owner has spoken, else at the
+/// last look before the last call, since the core may move again in time and the owner may still place the
+/// viewing.
 pub fn answers_for(now: f64, last_call: f64, has_reply: bool) -> bool {
     has_reply || now + LOOK > last_call
 }
--- a/hls/src/edition.rs
+++ b/hls/src/edition.rs
@@ -14,8 +14,8 @@
     pub discontinuity: bool,
 }
 
-/// The media playlist that one viewing is given: it slides (RFC 8216, 6.2.2). Pieces go in at the end; they go
-/// out at the front, each counted in the media sequence, each lost discontinuity in its own.
+/// The media playlist that one viewing is given: it slides (RFC 8216, 6.2.2). Pieces go in at the end; they
+/// go out at the front, each counted in the media sequence, each lost discontinuity in its own.
 #[derive(Clone, Debug, Default)]
 pub struct Edition {
     target: u64,
@@ -69,8 +69,8 @@
         }
     }
 
-    /// The server of what is pending is lost: pieces from that number on are unread, and can't be had any more.
-    /// All that is listed goes out; the title's number to go on from is returned.
+    /// The server of what is pending is lost: pieces from that number on are unread, and can't be had any
+    /// more. All that is listed goes out; the title's number to go on from is returned.
     pub fn withdraw(&mut self, unread: Option<u64>, by_time: usize) -> usize {
         let next = self.last_index().map_or(0, |it| it + 1);
         let at = unread.and_then(|no| no.checked_sub(self.first)).map(|it| it as usize);
--- a/hls/src/tests.rs
+++ b/hls/src/tests.rs
@@ -89,7 +89,8 @@
         let mut text = LIST.as_bytes().to_vec();
         if at < text.len() { text[at] = byte; }
         if let Ok(source) = read_source(&text) {
-            prop_assert!(source.segments.iter().all(|it| it.uri.split('/').all(|it| it != "..") && !it.uri.contains(':')));
+            let stays = |uri: &str| uri.split('/').all(|it| it != "..") && !uri.contains(':');
+            prop_assert!(source.segments.iter().all(|it| stays(&it.uri)));
             prop_assert!(source.length_ms().is_finite());
         }
     }
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -54,8 +54,8 @@
 }
 
 impl Drop for Out {
-    /// Guards against what was called off and gets there later all the same: closed in the usual way, the system goes on
-    /// sending what the peer has not got, for minutes over a wire that loses it or is cut.
+    /// Guards against what was called off and gets there later all the same: closed in the usual way, the
+    /// system goes on sending what the peer has not got, for minutes over a wire that loses it or is cut.
     fn drop(&mut self) {
         if let Some(kept) = self.kept.as_ref().filter(|_| self.resets) {
             _ = socket2::SockRef::from(&*kept.socket).set_linger(Some(Duration::ZERO));
@@ -79,16 +79,16 @@
         Client { exec, connect, keep, keep_for, resets: false, idle: RefCell::new(HashMap::new()) }
     }
 
-    /// An exchange that is dropped resets its connection: what has not reached the peer by then never will, but for what
-    /// is on its way.
+    /// An exchange that is dropped resets its connection: what has not reached the peer by then never will,
+    /// but for what is on its way.
     #[must_use]
     pub fn resetting(mut self) -> Client {
         self.resets = true;
         self
     }
 
-    /// Sends a request and reads the whole answer, up to `most` bytes. `may_send` is asked when all is ready, just
-    /// before the first byte goes out.
+    /// Sends a request and reads the whole answer, up to `most` bytes. `may_send` is asked when all is ready,
+    /// just before the first byte goes out.
     ///
     /// # Errors
     /// See [`Failure`]. The caller bounds the time by dropping the future.
--- a/net/src/nursery.rs
+++ b/net/src/nursery.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-/// Tasks that belong together, as those of one process do: they can be ended all at once, which closes their sockets,
-/// or held still.
+/// Tasks that belong together, as those of one process do: they can be ended all at once, which closes their
+/// sockets, or held still.
 #[derive(Clone)]
 pub struct Nursery(Rc<Inner>);
 
--- a/net/src/reactor.rs
+++ b/net/src/reactor.rs
@@ -1,5 +1,5 @@
-//! Each thread waits for its own sockets and timers, and shares neither with another: what one core does costs the
-//! others nothing (docs/several-cores.md has the figures beside one reactor for all threads).
+//! Each thread waits for its own sockets and timers, and shares neither with another: what one core does
+//! costs the others nothing (docs/several-cores.md has the figures beside one reactor for all threads).
 
 use ottersail_cores::Bell;
 use rustix::event::{epoll, eventfd, EventfdFlags, Timespec};
@@ -101,8 +101,8 @@
         })
     }
 
-    /// Watches a socket for both sides from now on; an event comes with each change, so that no call is needed to wait
-    /// again.
+    /// Watches a socket for both sides from now on; an event comes with each change, so that no call is
+    /// needed to wait again.
     pub(crate) fn watch(self: &Rc<Reactor>, socket: impl AsFd) -> io::Result<Source> {
         let index = self.free.borrow_mut().pop();
         let index = index.unwrap_or_else(|| {
@@ -202,8 +202,8 @@
 }
 
 impl Source {
-    /// The task is woken at the next event on that side. To be called only when the socket has just said that it would
-    /// wait.
+    /// The task is woken at the next event on that side. To be called only when the socket has just said that
+    /// it would wait.
     pub(crate) fn wait_for(&self, side: Side, cx: &Context) {
         if let Some(waits) = &mut self.of.sources.borrow_mut()[self.index] {
             let place = match side {
--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -43,7 +43,8 @@
 /// What is turned away gets its answer within this time, or none.
 const PARTING: Duration = Duration::from_millis(500);
 
-/// Accepts connections for ever and serves them. A handler's future is dropped when its client closes the connection.
+/// Accepts connections for ever and serves them. A handler's future is dropped when its client closes the
+/// connection.
 pub async fn serve<H, F>(
     nursery: Nursery,
     listener: Listener,
@@ -70,7 +71,8 @@
     server: Arc<Server>,
     mut hand_on: impl FnMut(Accepted) -> Result<(), Accepted>,
 ) {
-    // When file descriptors run out, this one is given up for as long as it takes to say so to the next client.
+    // When file descriptors run out, this one is given up for as long as it takes to say so to the next
+    // client.
     let spare = || File::open("/dev/null").ok();
     let mut reserve = spare();
     loop {
@@ -149,8 +151,8 @@
 }
 
 impl Line {
-    /// Writes an answer past the one who serves the connection, and closes it. To be done only by who has won the
-    /// right to answer; whoever serves it writes nothing more.
+    /// Writes an answer past the one who serves the connection, and closes it. To be done only by who has won
+    /// the right to answer; whoever serves it writes nothing more.
     pub fn answer_and_close(&self, bytes: &[u8]) -> std::io::Result<()> {
         let mut socket = &*self.socket;
         // It does not wait: an answer fits what a socket holds, unless its client reads nothing.
--- a/net/src/socket.rs
+++ b/net/src/socket.rs
@@ -120,9 +120,9 @@
     }
 }
 
-/// Connections that the system holds until they are accepted. A process that stands still for seconds loses none of those
-/// who come meanwhile: with 128, as is usual, a rehearsed day broke some off, since a connection that finds no room is
-/// tried again a second later only.
+/// Connections that the system holds until they are accepted. A process that stands still for seconds loses
+/// none of those who come meanwhile: with 128, as is usual, a rehearsed day broke some off, since a
+/// connection that finds no room is tried again a second later only.
 const BACKLOG: i32 = 4_096;
 
 /// Listens, with room for those who wait to be accepted.
--- a/rig/src/exchange.rs
+++ b/rig/src/exchange.rs
@@ -1,5 +1,5 @@
-//! Wires for the datagrams between members of a group. Each member is known to the others by an address here; what comes
-//! to it is sent on from the address of who sent it, so that answers take the same way.
+//! Wires for the datagrams between members of a group. Each member is known to the others by an address here;
+//! what comes to it is sent on from the address of who sent it, so that answers take the same way.
 
 use crate::wire::{Condition, Wire};
 use ottersail_net::{Datagrams, Exec, Nursery, Timer};
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,6 +1,6 @@
-//! The rig on which many processes are played against each other: wires between two parties that can be cut, reset,
-//! slowed, thinned, doubled, reordered, and cut one way only; processes that never outlive who started them, and what
-//! they cost.
+//! The rig on which many processes are played against each other: wires between two parties that can be cut,
+//! reset, slowed, thinned, doubled, reordered, and cut one way only; processes that never outlive who started
+//! them, and what they cost.
 
 mod exchange;
 mod process;
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -20,9 +20,9 @@
 const FILLERS: usize = 2;
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Stands in front of an address. While a direction is cut no new connection comes about, as if its first packet or the
-/// answer to that were lost; what is open goes on in the direction that is whole. Where nobody listens behind it, a
-/// caller finds a connection that is reset, not one that is refused.
+/// Stands in front of an address. While a direction is cut no new connection comes about, as if its first
+/// packet or the answer to that were lost; what is open goes on in the direction that is whole. Where nobody
+/// listens behind it, a caller finds a connection that is reset, not one that is refused.
 pub struct Relay {
     address: SocketAddr,
     line: Rc<Line>,
@@ -125,8 +125,8 @@
     }
 }
 
-/// Fills the queue of those who wait to be accepted: the system drops what else would join it, and the caller tries
-/// again until its time is up.
+/// Fills the queue of those who wait to be accepted: the system drops what else would join it, and the caller
+/// tries again until its time is up.
 fn shut(listener: &Listener) -> Vec<socket2::Socket> {
     let socket = listener.get_ref();
     _ = listen(socket, 0);
--- a/rig/src/wire.rs
+++ b/rig/src/wire.rs
@@ -1,4 +1,5 @@
-//! What a wire does to what goes over it, for each direction apart. No I/O: the time is an argument, in milliseconds.
+//! What a wire does to what goes over it, for each direction apart. No I/O: the time is an argument, in
+//! milliseconds.
 
 /// A direction, as seen by who calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -10,13 +11,15 @@
 /// How one direction of a wire is.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Condition {
-    /// Nothing comes through; what is on its way waits, as TCP would send it again, or is lost, if it is a datagram.
+    /// Nothing comes through; what is on its way waits, as TCP would send it again, or is lost, if it is a
+    /// datagram.
     pub cut: bool,
     /// Connections are reset, those that come anew as well.
     pub reset: bool,
     /// All comes so much later, in milliseconds.
     pub slow: f64,
-    /// Part of the datagrams that is lost. Of a connection's pieces that part comes late, since it is sent again.
+    /// Part of the datagrams that is lost. Of a connection's pieces that part comes late, since it is sent
+    /// again.
     pub thin: f64,
     /// Part of the datagrams that comes twice.
     pub double: f64,
@@ -38,8 +41,8 @@
     }
 }
 
-/// What is lost on a connection is sent again after so long, each further time after twice as long (RFC 6298, the least
-/// that Linux waits).
+/// What is lost on a connection is sent again after so long, each further time after twice as long (RFC 6298,
+/// the least that Linux waits).
 const SENT_AGAIN: f64 = 200.0;
 /// So often a piece may be lost in a row.
 const MOST_LOSSES: u32 = 6;
@@ -67,8 +70,8 @@
         self.condition = condition;
     }
 
-    /// When a connection's piece that comes now is through, never before one that came earlier; and whether it is lost at
-    /// first and has to be sent again.
+    /// When a connection's piece that comes now is through, never before one that came earlier; and whether
+    /// it is lost at first and has to be sent again.
     pub fn piece(&mut self, now: f64) -> (f64, bool) {
         let mut due = now + self.condition.slow;
         let mut again = SENT_AGAIN;
--- a/wire/src/catalogue.rs
+++ b/wire/src/catalogue.rs
@@ -123,13 +123,15 @@
 pub fn write_servers(list: &[Listed]) -> String {
     let row = |it: &Listed| {
         let (host, port) = it.address.rsplit_once(':').unwrap_or((&it.address, "0"));
+        let port = port.parse::<u64>().unwrap_or(0);
         let state = if it.standing == Standing::Up { "up" } else { "draining" };
         json!({
             "Node": { "Node": it.id },
             "Service": {
-                "ID": it.id, "Service": "streaming", "Address": host, "Port": port.parse::<u64>().unwrap_or(0),
+                "ID": it.id, "Service": "streaming", "Address": host, "Port": port,
                 "Meta": {
-                    "zone": it.zone, "kind": it.kind, "cell": it.cell.to_string(), "weight": it.weight.to_string(),
+                    "zone": it.zone, "kind": it.kind, "cell": it.cell.to_string(),
+                    "weight": it.weight.to_string(),
                     "started-ms": it.started_ms.unwrap_or(0.0).to_string(), "state": state,
                 },
             },
--- a/wire/src/report.rs
+++ b/wire/src/report.rs
@@ -1,5 +1,5 @@
-//! Load reports in answers: Open Request Cost Aggregation, header `endpoint-load-metrics`. Two of its forms are
-//! read, `TEXT` (`TEXT named_metrics.link=0.9, named_metrics.uplink=0.4`) and `JSON`
+//! Load reports in answers: Open Request Cost Aggregation, header `endpoint-load-metrics`. Two of its forms
+//! are read, `TEXT` (`TEXT named_metrics.link=0.9, named_metrics.uplink=0.4`) and `JSON`
 //! (`JSON {"named_metrics":{"link":0.9}}`).
 
 use serde::{Deserialize, Serialize};
@@ -7,8 +7,8 @@
 
 pub const HEADER: &str = "endpoint-load-metrics";
 
-/// What is asked over what is given, of the link and of the rack's uplink; from 0, also above 1. `delivered` is the
-/// share of their rates that viewings there get, 0 to 1.
+/// What is asked over what is given, of the link and of the rack's uplink; from 0, also above 1. `delivered`
+/// is the share of their rates that viewings there get, 0 to 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub link: Option<f64>,
@@ -30,8 +30,8 @@
         }
     }
 
-    /// Reads a header. A value that is negative, infinite, not a number or absurd counts as not told; a header that is
-    /// of no known form tells nothing.
+    /// Reads a header. A value that is negative, infinite, not a number or absurd counts as not told; a
+    /// header that is of no known form tells nothing.
     pub fn read(header: &str) -> Report {
         let mut report = Report::default();
         let header = header.trim();
@@ -90,7 +90,8 @@
     use test_case::test_case;
 
     #[test_case("TEXT named_metrics.link=0.9, named_metrics.uplink=1.25" => (Some(0.9), Some(1.25)); "text")]
-    #[test_case("JSON {\"cpu_utilization\":0.3,\"named_metrics\":{\"link\":0.9}}" => (Some(0.9), None); "json")]
+    #[test_case("JSON {\"cpu_utilization\":0.3,\"named_metrics\":{\"link\":0.9}}"
+        => (Some(0.9), None); "json")]
     #[test_case("TEXT named_metrics.link=NaN, named_metrics.uplink=-1" => (None, None); "no loads")]
     #[test_case("JSON {\"named_metrics\":{\"link\":1e99,\"uplink\":\"x\"}}" => (None, None); "absurd")]
     #[test_case("TEXT link=0.9" => (None, None); "not named")]
