net and rig: sockets, kept connections and carrying in files of their own; typed errors

Change: kept connections, failures, watched sockets, a relay's line and its carrying lie apart; bodies and the executor too, so that no module takes from the root; Failure, ThreadEnds, NoReactor and rig's Trouble say where and what to try. The worker logs a failed exchange with its address. Code that waits, sends and wakes is moved, not changed.

--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -337,6 +337,7 @@
             command.args(["--pick", name]);
         }
         Process::start(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log))
+            .map_err(std::io::Error::other)
     }
 
     fn start_again(&self, it: &mut Manager) {
--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -229,7 +229,7 @@
                     }
                 }
                 Some(Ok(answer)) => format!("answered {}", answer.status),
-                Some(Err(failure)) => format!("{failure:?}"),
+                Some(Err(failure)) => failure.to_string(),
                 None => "no answer in time".into(),
             };
             warn!(list = %reach.list, servers, cause = trouble, "the list could not be had; the last one holds");
@@ -340,10 +340,10 @@
                     _ => SetUpEnd::ServerError,
                 }
             }
-            Err(Failure::NoConnection) => SetUpEnd::NoConnection,
-            Err(Failure::NotSent) => SetUpEnd::NotSent,
-            Err(Failure::Lost) => SetUpEnd::ConnectionLost,
-            Err(Failure::TooLarge) => SetUpEnd::ServerError,
+            Err(Failure::NoConnection { .. }) => SetUpEnd::NoConnection,
+            Err(Failure::NotSent { .. }) => SetUpEnd::NotSent,
+            Err(Failure::Lost { .. }) => SetUpEnd::ConnectionLost,
+            Err(Failure::TooLarge { .. }) => SetUpEnd::ServerError,
         };
         let done = self.set_ups.borrow_mut().remove(&vw);
         // Told by a task of its own: this one ends with its handle.
@@ -359,7 +359,7 @@
             let sent = self.client.exchange(address, request, 4096, || true);
             match within(ERRAND, sent).await {
                 Some(Ok(_)) => return true,
-                Some(Err(Failure::NoConnection)) | None => return false,
+                Some(Err(Failure::NoConnection { .. })) | None => return false,
                 Some(Err(_)) => {}
             }
         }
--- a/net/src/client.rs
+++ b/net/src/client.rs
@@ -1,31 +1,31 @@
-use crate::{whole, Body, Exec, Stream, Timer};
-use async_executor::Task;
+//! A client that keeps its connections.
+
+mod failure;
+mod kept;
+#[cfg(test)]
+mod tests;
+
+pub use failure::Failure;
+pub use kept::Events;
+
+use crate::body::{whole, Body};
+use crate::exec::Exec;
+use crate::socket::Stream;
+use crate::timer::Timer;
 use bytes::Bytes;
+use failure::own_fault;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::handshake;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use kept::{Kept, Out};
 use smol_hyper::rt::FuturesIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How an exchange failed, and what that proves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// Nothing was sent: no connection within the time allowed.
-    NoConnection,
-    /// Nothing was sent, for a reason on this side.
-    NotSent,
-    /// It was sent, or may have been; then the connection ended or spoke no HTTP.
-    Lost,
-    /// The answer is larger than allowed.
-    TooLarge,
-}
-
+/// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub status: StatusCode,
@@ -33,36 +33,6 @@
     pub body: Bytes,
 }
 
-struct Kept {
-    sender: SendRequest<Body>,
-    /// Dropping it closes the connection.
-    _connection: Task<()>,
-    socket: Arc<TcpStream>,
-    since: Instant,
-}
-
-/// A connection whose exchange is under way.
-struct Out {
-    kept: Option<Kept>,
-    resets: bool,
-}
-
-impl Out {
-    fn done(mut self) -> Option<Kept> {
-        self.kept.take()
-    }
-}
-
-impl Drop for Out {
-    /// Guards against what was called off and gets there later all the same: closed in the usual way, the
-    /// system goes on sending what the peer has not got, for minutes over a wire that loses it or is cut.
-    fn drop(&mut self) {
-        if let Some(kept) = self.kept.as_ref().filter(|_| self.resets) {
-            _ = socket2::SockRef::from(&*kept.socket).set_linger(Some(Duration::ZERO));
-        }
-    }
-}
-
 /// Connections are kept for the next exchange with the same address; dropping an exchange closes its own.
 pub struct Client {
     exec: Exec,
@@ -104,9 +74,9 @@
         let body = Limited::new(body, most).collect().await.map_err(|trouble| {
             let limit = trouble.downcast_ref::<http_body_util::LengthLimitError>().is_some();
             if limit {
-                Failure::TooLarge
+                Failure::TooLarge { address: address.into(), most }
             } else {
-                Failure::Lost
+                Failure::lost(address)
             }
         })?;
         if let Some(kept) = out.done() {
@@ -125,7 +95,7 @@
             Some(kept) if response.status() == StatusCode::OK => {
                 Ok(Events { body: response.into_body(), _kept: kept })
             }
-            _ => Err(Failure::Lost),
+            _ => Err(Failure::lost(address)),
         }
     }
 
@@ -141,14 +111,14 @@
         };
         if !may_send() {
             self.give_back(address, kept);
-            return Err(Failure::NotSent);
+            return Err(Failure::not_sent(address));
         }
         let answered = kept.sender.send_request(request);
         let out = Out { kept: Some(kept), resets: self.resets };
         match answered.await {
             Ok(response) => Ok((response, out)),
-            Err(trouble) if trouble.is_canceled() => Err(Failure::NotSent),
-            Err(_) => Err(Failure::Lost),
+            Err(trouble) if trouble.is_canceled() => Err(Failure::not_sent(address)),
+            Err(_) => Err(Failure::lost(address)),
         }
     }
 
@@ -166,7 +136,7 @@
     }
 
     async fn connected(&self, address: &str) -> Result<Kept, Failure> {
-        let to: SocketAddr = address.parse().map_err(|_| Failure::NoConnection)?;
+        let to: SocketAddr = address.parse().map_err(|_| Failure::no_connection(address))?;
         let connect = async { Some(Stream::connect(to).await) };
         let late = async {
             Timer::after(self.connect).await;
@@ -174,14 +144,13 @@
         };
         let stream = match futures_lite::future::or(connect, late).await {
             Some(Ok(stream)) => stream,
-            // No descriptor, no port: that tells nothing of the peer.
-            Some(Err(trouble)) if own_fault(&trouble) => return Err(Failure::NotSent),
-            _ => return Err(Failure::NoConnection),
+            Some(Err(trouble)) if own_fault(&trouble) => return Err(Failure::not_sent(address)),
+            _ => return Err(Failure::no_connection(address)),
         };
         _ = stream.get_ref().set_nodelay(true);
         let socket = stream.share();
         let (sender, connection) =
-            handshake(FuturesIo::new(stream)).await.map_err(|_| Failure::NoConnection)?;
+            handshake(FuturesIo::new(stream)).await.map_err(|_| Failure::no_connection(address))?;
         let connection = self.exec.spawn(async move {
             _ = connection.await;
         });
@@ -201,29 +170,10 @@
             there.push(kept);
         }
     }
-}
-
-fn own_fault(trouble: &std::io::Error) -> bool {
-    const NO_FILES: [i32; 2] = [23, 24];
-    trouble.raw_os_error().is_some_and(|it| NO_FILES.contains(&it))
-        || trouble.kind() == ErrorKind::AddrNotAvailable
-}
 
-/// A stream of events that is read as it comes.
-pub struct Events {
-    body: Incoming,
-    _kept: Kept,
-}
-
-impl Events {
-    /// What has come; `None` at its end, however it ended.
-    pub async fn next(&mut self) -> Option<Bytes> {
-        loop {
-            let frame = self.body.frame().await?.ok()?;
-            if let Ok(data) = frame.into_data() {
-                return Some(data);
-            }
-        }
+    /// A request without a body, for that address.
+    pub fn request(method: Method, address: &str, path: &str) -> Request<Body> {
+        bare(method, address, path)
     }
 }
 
@@ -238,50 +188,3 @@
     }
     request
 }
-
-impl Client {
-    /// A request without a body, for that address.
-    pub fn request(method: Method, address: &str, path: &str) -> Request<Body> {
-        bare(method, address, path)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::{block_on, executor};
-    use futures_lite::AsyncReadExt;
-    use std::io::ErrorKind;
-    use test_case::test_case;
-
-    #[test_case(true => Some(ErrorKind::ConnectionReset); "reset, where that is asked for")]
-    #[test_case(false => None; "closed otherwise")]
-    fn an_exchange_that_is_dropped(resets: bool) -> Option<ErrorKind> {
-        let exec = executor();
-        block_on(exec.run(async {
-            let listener = crate::Listener::bind(([127, 0, 0, 1], 0).into()).unwrap();
-            let address = listener.get_ref().local_addr().unwrap().to_string();
-            let client = Client::new(exec, Duration::from_secs(1), 4, Duration::from_secs(1));
-            let client = if resets { client.resetting() } else { client };
-            let request = Client::request(Method::PUT, &address, "/x");
-            let asks = async {
-                let late = Timer::after(Duration::from_millis(50));
-                _ = futures_lite::future::or(
-                    async { _ = client.exchange(&address, request, 100, || true).await },
-                    late,
-                )
-                .await;
-            };
-            let accepts = async { Stream::new(listener.accept().await.unwrap().0).unwrap() };
-            let (_, mut stream) = futures_lite::future::zip(asks, accepts).await;
-            let mut bytes = [0; 512];
-            loop {
-                match stream.read(&mut bytes).await {
-                    Ok(0) => return None,
-                    Ok(_) => {}
-                    Err(trouble) => return Some(trouble.kind()),
-                }
-            }
-        }))
-    }
-}
--- a/net/src/nursery.rs
+++ b/net/src/nursery.rs
@@ -1,4 +1,4 @@
-use crate::Exec;
+use crate::exec::Exec;
 use async_executor::Task;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
--- a/net/src/reactor.rs
+++ b/net/src/reactor.rs
@@ -1,9 +1,15 @@
 //! Each thread waits for its own sockets and timers, and shares neither with another: what one core does
 //! costs the others nothing (docs/several-cores.md has the figures beside one reactor for all threads).
 
+mod sources;
+
+pub(crate) use sources::{Side, Source};
+
+use crate::trouble::NoReactor;
 use ottersail_cores::Bell;
 use rustix::event::{epoll, eventfd, EventfdFlags, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
+use sources::Sources;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -20,33 +26,20 @@
 const BELL: u64 = u64::MAX;
 
 thread_local! {
-    static REACTOR: Rc<Reactor> = Rc::new(Reactor::new().expect("an epoll with waits in nanoseconds (Linux 5.11 or later) and an eventfd for this thread"));
+    static REACTOR: Rc<Reactor> = Rc::new(
+        Reactor::new().unwrap_or_else(|it| panic!("{}", NoReactor::here(it)))
+    );
 }
 
 pub(crate) struct Reactor {
-    epoll: OwnedFd,
     wakes: Arc<Wakes>,
-    sources: RefCell<Vec<Option<Waits>>>,
-    free: RefCell<Vec<usize>>,
+    sources: Rc<Sources>,
     timers: RefCell<BTreeMap<(Instant, u64), Waker>>,
     next_timer: Cell<u64>,
     events: RefCell<Vec<epoll::Event>>,
     slept: Cell<Duration>,
 }
 
-/// Who waits for a socket.
-#[derive(Default)]
-struct Waits {
-    read: Option<Waker>,
-    write: Option<Waker>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Side {
-    Read,
-    Write,
-}
-
 struct Wakes {
     bell: Bell,
     wire: OwnedFd,
@@ -90,10 +83,8 @@
             Some(&none),
         )?;
         Ok(Reactor {
-            epoll,
             wakes: Arc::new(Wakes { bell: Bell::new(), wire }),
-            sources: RefCell::default(),
-            free: RefCell::default(),
+            sources: Rc::new(Sources::new(epoll)),
             timers: RefCell::default(),
             next_timer: Cell::new(THREADS.fetch_add(1, Ordering::Relaxed) << 40),
             events: RefCell::new(Vec::with_capacity(MOST_EVENTS)),
@@ -101,23 +92,9 @@
         })
     }
 
-    /// Watches a socket for both sides from now on; an event comes with each change, so that no call is
-    /// needed to wait again.
-    pub(crate) fn watch(self: &Rc<Reactor>, socket: impl AsFd) -> io::Result<Source> {
-        let index = self.free.borrow_mut().pop();
-        let index = index.unwrap_or_else(|| {
-            self.sources.borrow_mut().push(None);
-            self.sources.borrow().len() - 1
-        });
-        let flags =
-            epoll::EventFlags::IN | epoll::EventFlags::OUT | epoll::EventFlags::RDHUP | epoll::EventFlags::ET;
-        if let Err(trouble) = epoll::add(&self.epoll, socket, epoll::EventData::new_u64(index as u64), flags)
-        {
-            self.free.borrow_mut().push(index);
-            return Err(trouble.into());
-        }
-        self.sources.borrow_mut()[index] = Some(Waits::default());
-        Ok(Source { of: self.clone(), index })
+    /// See [`Sources::watch`].
+    pub(crate) fn watch(&self, socket: impl AsFd) -> io::Result<Source> {
+        self.sources.watch(socket)
     }
 
     pub(crate) fn set_timer(&self, at: Instant, waker: Waker) -> u64 {
@@ -172,58 +149,10 @@
         let mut events = self.events.borrow_mut();
         events.clear();
         // Interrupted: as if nothing had come.
-        _ = epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), most.as_ref());
+        _ = epoll::wait(self.sources.epoll(), rustix::buffer::spare_capacity(&mut events), most.as_ref());
         // Before anyone is woken, so that this thread's own wakes cost no call.
         self.wakes.bell.gets_up();
-        let mut sources = self.sources.borrow_mut();
-        let (reads, writes) = (epoll::EventFlags::IN | epoll::EventFlags::RDHUP, epoll::EventFlags::OUT);
-        let both = epoll::EventFlags::HUP | epoll::EventFlags::ERR;
-        for event in events.iter() {
-            let (data, flags) = (event.data, event.flags);
-            // One that was dropped since has no entry, or another's, which then looks once in vain.
-            let Some(Some(waits)) = usize::try_from(data.u64()).ok().and_then(|it| sources.get_mut(it))
-            else {
-                continue;
-            };
-            if flags.intersects(reads | both) {
-                waits.read.take().into_iter().for_each(Waker::wake);
-            }
-            if flags.intersects(writes | both) {
-                waits.write.take().into_iter().for_each(Waker::wake);
-            }
-        }
-    }
-}
-
-/// A socket that is watched, until it is dropped or closed.
-pub(crate) struct Source {
-    of: Rc<Reactor>,
-    index: usize,
-}
-
-impl Source {
-    /// The task is woken at the next event on that side. To be called only when the socket has just said that
-    /// it would wait.
-    pub(crate) fn wait_for(&self, side: Side, cx: &Context) {
-        if let Some(waits) = &mut self.of.sources.borrow_mut()[self.index] {
-            let place = match side {
-                Side::Read => &mut waits.read,
-                Side::Write => &mut waits.write,
-            };
-            match place {
-                Some(old) => old.clone_from(cx.waker()),
-                None => *place = Some(cx.waker().clone()),
-            }
-        }
-    }
-
-    /// Ends the watch. The socket may be open for longer, where others hold it.
-    pub(crate) fn end(&self, socket: impl AsFd) {
-        _ = epoll::delete(&self.of.epoll, socket);
-        let taken = self.of.sources.borrow_mut()[self.index].take();
-        if taken.is_some() {
-            self.of.free.borrow_mut().push(self.index);
-        }
+        self.sources.wake(&events);
     }
 }
 
--- a/net/src/server.rs
+++ b/net/src/server.rs
@@ -1,5 +1,7 @@
-use crate::timer::Timers;
-use crate::{Body, Listener, Nursery, Stream, Timer};
+use crate::body::Body;
+use crate::nursery::Nursery;
+use crate::socket::{Listener, Stream};
+use crate::timer::{Timer, Timers};
 use futures_lite::AsyncWriteExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
--- a/rig/src/exchange.rs
+++ b/rig/src/exchange.rs
@@ -1,11 +1,11 @@
 //! Wires for the datagrams between members of a group. Each member is known to the others by an address here;
 //! what comes to it is sent on from the address of who sent it, so that answers take the same way.
 
+use crate::trouble::Trouble;
 use crate::wire::{Condition, Wire};
 use ottersail_net::{Datagrams, Exec, Nursery, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::Result;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -37,9 +37,10 @@
     ///
     /// # Errors
     /// If no addresses can be had on loopback.
-    pub fn start(exec: Exec, members: Vec<SocketAddr>, seed: u64) -> Result<Exchange> {
+    pub fn start(exec: Exec, members: Vec<SocketAddr>, seed: u64) -> Result<Exchange, Trouble> {
+        let no_address = Trouble::no_address("an exchange");
         let socket = |_: &SocketAddr| Datagrams::bind((Ipv4Addr::LOCALHOST, 0).into());
-        let sockets = members.iter().map(socket).collect::<Result<Vec<_>>>()?;
+        let sockets = members.iter().map(socket).collect::<Result<Vec<_>, _>>().map_err(no_address)?;
         let inner = Rc::new(Inner {
             began: Instant::now(),
             seed,
@@ -62,9 +63,11 @@
     /// Where the others find a member.
     ///
     /// # Errors
-    /// The system's.
-    pub fn address(&self, member: usize) -> Result<SocketAddr> {
-        self.inner.sockets[member].get_ref().local_addr()
+    /// If there is no such member, or the system can't tell.
+    pub fn address(&self, member: usize) -> Result<SocketAddr, Trouble> {
+        let none = || std::io::ErrorKind::NotFound.into();
+        let told = self.inner.sockets.get(member).ok_or_else(none).and_then(|it| it.get_ref().local_addr());
+        told.map_err(|cause| Trouble::Unknown { member, cause })
     }
 
     /// How what one member sends to another is carried from now on.
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,9 +5,11 @@
 mod exchange;
 mod process;
 mod relay;
+mod trouble;
 pub mod wire;
 
 pub use exchange::Exchange;
 pub use process::{cost, Cost, Process};
 pub use relay::Relay;
+pub use trouble::Trouble;
 pub use wire::{Condition, Way};
--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -1,8 +1,8 @@
 //! Processes that end with who started them, by their own ids, and what they cost.
 
+use crate::trouble::Trouble;
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs;
-use std::io::Result;
 use std::process::{Child, Command, ExitStatus};
 use std::time::{Duration, Instant};
 
@@ -17,8 +17,12 @@
 impl Process {
     /// # Errors
     /// The system's, if it can't be started.
-    pub fn start(command: &mut Command) -> Result<Process> {
-        Ok(Process { child: command.spawn()?, ended: None })
+    pub fn start(command: &mut Command) -> Result<Process, Trouble> {
+        let child = command.spawn().map_err(|cause| Trouble::NotStarted {
+            program: command.get_program().to_string_lossy().into_owned(),
+            cause,
+        })?;
+        Ok(Process { child, ended: None })
     }
 
     pub fn id(&self) -> u32 {
