tickets, wire and hls: typed errors that say where and what an operator can try

Cause: Keys::read gave its trouble as a bare text, the catalogue's and the notes' told a name or nothing, and a playlist's no way out. Change: by thiserror tickets' Unusable and Denial, wire's Unusable and Garbled, hls's Trouble, each variant with its line, key, row, server or segment and a thing to try; a secret is never told. Keys::read is taken in daemon by to_string.

--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -172,7 +172,7 @@
     let recorder = Recorder::begin(&traffic, clock, plan.judged()).map_err(tell)?;
     let secret = |_| format!("{:032x}", fastrand::u128(..));
     let keys_text = format!("b {}{}\na {}{}\n", secret(0), "AA", secret(1), "AA");
-    let keys = Keys::read(&keys_text)?;
+    let keys = Keys::read(&keys_text).map_err(|it| it.to_string())?;
     fs::write(folder.join("keys"), &keys_text).map_err(tell)?;
     let (go, going) = async_channel::bounded(1);
     let fleet = run_fleet(&plan.day, &recorder, &keys, going)?;
--- a/daemon/src/replay.rs
+++ b/daemon/src/replay.rs
@@ -97,7 +97,7 @@
     let keys = keys.unwrap_or(&manager.keys);
     let text = std::fs::read_to_string(keys)
         .map_err(|it| format!("{}: {it}; name the keys of that time with --keys", keys.display()))?;
-    let keys = Keys::read(&text)?;
+    let keys = Keys::read(&text).map_err(|it| it.to_string())?;
     Ok(Front::new(
         Ms(header.begins),
         header.seed,
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -48,7 +48,7 @@
     let manager = read_manager(path, &text)?;
     let keys = std::fs::read_to_string(&manager.keys).map_err(|it| it.to_string());
     let keys = keys
-        .and_then(|it| Keys::read(&it))
+        .and_then(|it| Keys::read(&it).map_err(|it| it.to_string()))
         .map_err(|it| vec![format!("{}: {it}", manager.keys.display())])?;
     Ok((text, manager, keys))
 }
--- a/hls/src/lib.rs
+++ b/hls/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod edition;
 mod source;
+mod trouble;
 
 pub use edition::{multivariant, Edition, Piece};
-pub use source::{read_source, Segment, Source, Trouble, MOST_BYTES, MOST_SEGMENTS};
+pub use source::{read_source, Segment, Source};
+pub use trouble::{Trouble, MOST_BYTES, MOST_SEGMENTS};
 
 #[cfg(test)]
 mod tests;
--- a/hls/src/source.rs
+++ b/hls/src/source.rs
@@ -1,9 +1,5 @@
+use crate::trouble::{Trouble, MOST_BYTES, MOST_SEGMENTS};
 use m3u8_rs::MediaPlaylist;
-use std::fmt;
-
-/// A title's playlist may be so large.
-pub const MOST_BYTES: usize = 1 << 20;
-pub const MOST_SEGMENTS: usize = 20_000;
 
 /// One media segment; the address is relative to the viewing's place at its server.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,32 +17,6 @@
     pub segments: Vec<Segment>,
 }
 
-/// What is wrong with a playlist from a server.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Trouble {
-    TooLarge,
-    NotAPlaylist,
-    NotWhole,
-    Empty,
-    BadDuration(usize),
-    BadAddress(usize),
-}
-
-impl fmt::Display for Trouble {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Trouble::TooLarge => write!(f, "over {MOST_BYTES} bytes or {MOST_SEGMENTS} segments"),
-            Trouble::NotAPlaylist => f.write_str("not a media playlist"),
-            Trouble::NotWhole => f.write_str("no EXT-X-ENDLIST: the title must be listed whole"),
-            Trouble::Empty => f.write_str("no segments"),
-            Trouble::BadDuration(ix) => write!(f, "segment {ix}: its duration is not in (0, target]"),
-            Trouble::BadAddress(ix) => write!(f, "segment {ix}: its address must be a relative path"),
-        }
-    }
-}
-
-impl std::error::Error for Trouble {}
-
 /// Reads the media playlist of a recorded title.
 ///
 /// # Errors
--- a/hls/src/tests.rs
+++ b/hls/src/tests.rs
@@ -26,6 +26,20 @@
     assert_eq!(read_source(LIST.replace(was, becomes).as_bytes()), Err(expected));
 }
 
+#[test_case(Trouble::TooLarge, "the playlist ", "longer ones"; "too large")]
+#[test_case(Trouble::NotAPlaylist, "the playlist ", "one rung alone"; "no playlist")]
+#[test_case(Trouble::NotWhole, "the playlist ", "list the title whole"; "not whole")]
+#[test_case(Trouble::Empty, "the playlist ", "has the title"; "empty")]
+#[test_case(Trouble::BadDuration(7), "segment 7 of the playlist", "package the title again"; "a duration")]
+#[test_case(Trouble::BadAddress(7), "segment 7 of the playlist", "below the playlist's own"; "an address")]
+fn trouble_says_where_and_what_to_try(trouble: Trouble, place: &str, advice: &str) {
+    let told = trouble.to_string();
+    assert!(
+        told.starts_with(place) && told.split_once("; ").is_some_and(|it| it.1.contains(advice)),
+        "{told}"
+    );
+}
+
 fn piece(index: usize, map: Option<&str>, discontinuity: bool) -> Piece {
     Piece { index, uri: format!("s{index}"), map: map.map(Into::into), seconds: 2.0, discontinuity }
 }
--- a/tickets/src/lib.rs
+++ b/tickets/src/lib.rs
@@ -7,6 +7,10 @@
 use sha2::Sha256;
 use std::fmt;
 
+mod trouble;
+
+pub use trouble::{Denial, Unusable};
+
 /// What a ticket is for. All of it is signed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claim<'a> {
@@ -19,25 +23,8 @@
     pub expires: u64,
 }
 
-/// Why a ticket does not count.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Denial {
-    Malformed,
-    UnknownKey,
-    Forged,
-    Expired,
-}
-
-impl fmt::Display for Denial {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str(match self {
-            Denial::Malformed => "the ticket is not of the form expiry.key.mac",
-            Denial::UnknownKey => "the ticket's key is not in force",
-            Denial::Forged => "the ticket does not belong to this address",
-            Denial::Expired => "the ticket has expired; reload the playlist",
-        })
-    }
-}
+/// A secret has at least so many bytes.
+const LEAST_BYTES: usize = 16;
 
 /// The keys in force: the first signs, both are believed.
 #[derive(Clone)]
@@ -54,34 +41,30 @@
     ///
     /// # Errors
     /// Says in which line what is wrong.
-    pub fn read(text: &str) -> Result<Keys, String> {
+    pub fn read(text: &str) -> Result<Keys, Unusable> {
         let mut keys = Vec::new();
         let lines = text.lines().map(str::trim).enumerate();
         for (no, line) in lines.filter(|it| !it.1.is_empty() && !it.1.starts_with('#')) {
             let no = no + 1;
-            let (name, secret) = line
-                .split_once(' ')
-                .ok_or_else(|| format!("line {no}: expected a name, a space and a secret"))?;
+            let (name, secret) = line.split_once(' ').ok_or(Unusable::Form { line: no })?;
             if name.is_empty() || !name.chars().all(|it| it.is_ascii_alphanumeric()) {
-                return Err(format!("line {no}: a key's name is of letters and digits"));
+                return Err(Unusable::Name { line: no, name: name.into() });
             }
+            let key = || name.to_string();
             let secret = URL_SAFE_NO_PAD
                 .decode(secret.trim().trim_end_matches('='))
-                .map_err(|_| format!("line {no}: the secret is not base64url"))?;
-            if secret.len() < 16 {
-                return Err(format!(
-                    "line {no}: the secret has {} bytes, at least 16 are wanted",
-                    secret.len()
-                ));
+                .map_err(|_| Unusable::Secret { line: no, key: key() })?;
+            if secret.len() < LEAST_BYTES {
+                return Err(Unusable::Short { line: no, key: key(), bytes: secret.len() });
             }
             if keys.iter().any(|it: &(String, Vec<u8>)| it.0 == name) {
-                return Err(format!("line {no}: key {name} is there twice"));
+                return Err(Unusable::Twice { line: no, key: key() });
             }
             keys.push((name.to_string(), secret));
         }
         match keys.len() {
             1 | 2 => Ok(Keys(keys)),
-            n => Err(format!("{n} keys; one or two are wanted, the one that signs first")),
+            found => Err(Unusable::Count { found }),
         }
     }
 
--- a/tickets/src/tests.rs
+++ b/tickets/src/tests.rs
@@ -36,16 +36,6 @@
     assert_eq!(check(&after, &ticket(&both)), Ok(()));
 }
 
-#[test_case("", "0 keys"; "none")]
-#[test_case("a short", "line 1"; "no base64")]
-#[test_case("a AAAA", "3 bytes"; "too short")]
-#[test_case("a/b AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA", "letters and digits"; "name")]
-#[test_case("a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\na AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA", "twice"; "twice")]
-fn bad_keys_are_told(text: &str, expected: &str) {
-    let told = Keys::read(text).unwrap_err();
-    assert!(told.contains(expected), "{told}");
-}
-
 proptest! {
     // The same cases each time; more by PROPTEST_CASES.
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
@@ -58,3 +48,29 @@
         prop_assert!(keys.check(&whole[..cut.min(whole.len() - 1)], "v1", "seg-3", 2, 1).is_err());
     }
 }
+
+#[test_case("k", Unusable::Form { line: 1 }, "line 1", "write `name secret`"; "no secret")]
+#[test_case("# keys\nk! AAAA", Unusable::Name { line: 2, name: "k!".into() }, "line 2",
+    "letters and digits"; "a name")]
+#[test_case("k ***", Unusable::Secret { line: 1, key: "k".into() }, "secret of k",
+    "openssl rand"; "no base64url")]
+#[test_case("k AAAA", Unusable::Short { line: 1, key: "k".into(), bytes: 3 }, "secret of k",
+    "use 16 or more"; "short")]
+#[test_case(&format!("k {0}\n\nk {0}", "A".repeat(32)), Unusable::Twice { line: 3, key: "k".into() },
+    "line 3", "another name"; "twice")]
+#[test_case("# none", Unusable::Count { found: 0 }, "the keys' file", "one or two lines"; "none")]
+fn unusable_keys_say_where_and_what_to_try(text: &str, expected: Unusable, place: &str, advice: &str) {
+    let told = Keys::read(text).err();
+    assert_eq!(told.as_ref(), Some(&expected));
+    let told = told.map_or(String::new(), |it| it.to_string());
+    assert!(told.contains(place) && told.split_once("; ").is_some_and(|it| it.1.contains(advice)), "{told}");
+}
+
+#[test_case(Denial::Malformed, "the ticket ", "as the playlist has it"; "malformed")]
+#[test_case(Denial::UnknownKey, "the ticket's key", "the same keys"; "unknown key")]
+#[test_case(Denial::Forged, "the ticket ", "as the playlist has it"; "forged")]
+#[test_case(Denial::Expired, "the ticket ", "reload"; "expired")]
+fn a_denial_says_where_and_what_to_try(denial: Denial, place: &str, advice: &str) {
+    let told = denial.to_string();
+    assert!(told.contains(place) && told.split_once("; ").is_some_and(|it| it.1.contains(advice)), "{told}");
+}
--- a/wire/src/catalogue.rs
+++ b/wire/src/catalogue.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
-use std::fmt;
+
+pub use crate::trouble::Unusable;
 
 pub const INDEX_HEADER: &str = "x-consul-index";
 /// An answer may be so large.
@@ -45,20 +46,6 @@
     pub copies: u64,
 }
 
-/// What is wrong with an answer of the catalogue; none of it is used then.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unusable(pub String);
-
-impl fmt::Display for Unusable {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "the catalogue's answer can't be used: {}", self.0)
-    }
-}
-
-fn unusable<T>(what: impl fmt::Display) -> Result<T, Unusable> {
-    Err(Unusable(what.to_string()))
-}
-
 /// Letters, digits and a few marks, so that it can stand in a path and a log.
 fn plain(text: &str) -> bool {
     let mark = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.' | ':');
@@ -70,38 +57,39 @@
 /// # Errors
 /// An entry that lacks something or holds nonsense, or a server that is there twice: half a list is none.
 pub fn read_servers(text: &[u8]) -> Result<Vec<Listed>, Unusable> {
-    let rows: Vec<Value> = serde_json::from_slice(text).or_else(unusable)?;
+    let rows: Vec<Value> = serde_json::from_slice(text).map_err(Unusable::not_a_list)?;
     let mut seen = BTreeSet::new();
     let mut list = Vec::with_capacity(rows.len());
-    for row in &rows {
-        let server = read_server(row)?;
+    for (row, it) in rows.iter().enumerate() {
+        let server = read_server(row, it)?;
         if !seen.insert(server.id.clone()) {
-            return unusable(format!("server {} is there twice", server.id));
+            return Err(Unusable::Twice { id: server.id });
         }
         list.push(server);
     }
     Ok(list)
 }
 
-fn read_server(row: &Value) -> Result<Listed, Unusable> {
+fn read_server(no: usize, row: &Value) -> Result<Listed, Unusable> {
     let (service, meta) = (&row["Service"], &row["Service"]["Meta"]);
     let id = service["ID"].as_str().unwrap_or("");
     if !plain(id) {
-        return unusable(format!("a server's id {id:?}"));
+        return Err(Unusable::ServerId { row: no, id: id.into() });
     }
     let text = |key: &str| meta[key].as_str().filter(|it| plain(it)).map(str::to_string);
-    let want = |key: &str| text(key).ok_or_else(|| Unusable(format!("server {id}: meta {key}")));
+    let bad = |key: &'static str| Unusable::Meta { id: id.into(), key };
+    let want = |key: &'static str| text(key).ok_or_else(|| bad(key));
     let port = service["Port"].as_u64().filter(|it| (1..=65_535).contains(it));
     let host = service["Address"].as_str().filter(|it| plain(it));
     let (Some(port), Some(host)) = (port, host) else {
-        return unusable(format!("server {id}: address or port"));
+        return Err(Unusable::Address { id: id.into() });
     };
     let weight = want("weight")?.parse::<f64>().unwrap_or(f64::NAN);
     if !(weight.is_finite() && weight > 0.0 && weight < 1e6) {
-        return unusable(format!("server {id}: weight"));
+        return Err(bad("weight"));
     }
     let Ok(cell) = want("cell")?.parse::<u64>() else {
-        return unusable(format!("server {id}: cell"));
+        return Err(bad("cell"));
     };
     let started = text("started-ms").and_then(|it| it.parse::<f64>().ok());
     let checks = row["Checks"].as_array().map_or(&[][..], Vec::as_slice);
@@ -146,20 +134,20 @@
 /// # Errors
 /// A value that is not what a title's should be.
 pub fn read_titles(text: &[u8]) -> Result<Vec<Title>, Unusable> {
-    let rows: Vec<Value> = serde_json::from_slice(text).or_else(unusable)?;
-    let title = |row: &Value| {
+    let rows: Vec<Value> = serde_json::from_slice(text).map_err(Unusable::not_a_list)?;
+    let title = |(no, row): (usize, &Value)| {
         let name = row["Key"].as_str().and_then(|it| it.strip_prefix("titles/")).unwrap_or("");
         if !plain(name) {
-            return unusable(format!("a title's key {}", row["Key"]));
+            return Err(Unusable::TitleKey { row: no, key: row["Key"].to_string() });
         }
         let value = row["Value"].as_str().and_then(|it| STANDARD.decode(it).ok()).unwrap_or_default();
         let title: Result<Title, _> = serde_json::from_slice(&value);
         match title {
             Ok(title) if title.copies > 0 => Ok(Title { name: name.into(), ..title }),
-            _ => unusable(format!("title {name}: expected base and copies")),
+            _ => Err(Unusable::Title { name: name.into() }),
         }
     };
-    rows.iter().map(title).collect()
+    rows.iter().enumerate().map(title).collect()
 }
 
 pub fn write_titles(titles: &[Title]) -> String {
@@ -201,8 +189,8 @@
     #[test_case("\"b-1\"", "\"b-2\"", "twice"; "a server twice")]
     #[test_case("\"1.5\"", "\"NaN\"", "weight"; "a weight that is none")]
     #[test_case("\"3\"", "\"x\"", "cell"; "a cell that is none")]
-    #[test_case("127.0.0.1", "127.0.0.1/a b", "address"; "an address that is none")]
-    #[test_case("[", "", "expected"; "not a list")]
+    #[test_case("127.0.0.1", "127.0.0.1/a b", "Service.Address"; "an address that is none")]
+    #[test_case("[", "", "not a list"; "not a list")]
     fn half_a_list_is_none(was: &str, becomes: &str, expected: &str) {
         let text = write_servers(&[listed("b-1"), listed("b-2")]).replace(was, becomes);
         let told = read_servers(text.as_bytes()).unwrap_err().to_string();
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod catalogue;
 pub mod notes;
 pub mod report;
+mod trouble;
--- a/wire/src/notes.rs
+++ b/wire/src/notes.rs
@@ -1,10 +1,10 @@
 //! Notes of a server: one stream of server-sent events to each manager with viewings there.
 
 use crate::report::Report;
+use crate::trouble::MOST_LINE;
 use serde::{Deserialize, Serialize};
 
-/// A line may be so long; what is longer is not a note.
-const MOST_LINE: usize = 4096;
+pub use crate::trouble::Garbled;
 
 /// Why a viewing ended at its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,26 +51,22 @@
     data: String,
 }
 
-/// The peer speaks something else; the stream is of no use any more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Garbled;
-
 impl Reader {
     /// Takes what has come; gives each note that is whole.
     ///
     /// # Errors
-    /// [`Garbled`] if a line is too long or an event can't be read.
+    /// [`Garbled`] if a line is too long or an event can't be read: the stream is of no use any more.
     pub fn take(&mut self, bytes: &[u8], mut found: impl FnMut(Note)) -> Result<(), Garbled> {
         for byte in bytes {
             match byte {
                 b'\n' => {
                     let line = std::mem::take(&mut self.line);
-                    let line = std::str::from_utf8(&line).map_err(|_| Garbled)?;
+                    let line = std::str::from_utf8(&line).map_err(|_| Garbled::NotText)?;
                     if let Some(note) = self.line(line.trim_end_matches('\r'))? {
                         found(note);
                     }
                 }
-                _ if self.line.len() >= MOST_LINE => return Err(Garbled),
+                _ if self.line.len() >= MOST_LINE => return Err(Garbled::LongLine),
                 byte => self.line.push(*byte),
             }
         }
@@ -81,14 +77,17 @@
         if line.is_empty() {
             let (event, data) = (std::mem::take(&mut self.event), std::mem::take(&mut self.data));
             return match event.as_str() {
-                "load" => Report::read_json(&data).map(|it| Some(Note::Load(it))).ok_or(Garbled),
+                "load" => Report::read_json(&data)
+                    .map(|it| Some(Note::Load(it)))
+                    .ok_or(Garbled::Event { event: "load" }),
                 "ended" => {
                     #[derive(Deserialize)]
                     struct Ended {
                         viewing: String,
                         cause: EndCause,
                     }
-                    let Ended { viewing, cause } = serde_json::from_str(&data).map_err(|_| Garbled)?;
+                    let ended = serde_json::from_str(&data).map_err(|_| Garbled::Event { event: "ended" });
+                    let Ended { viewing, cause } = ended?;
                     Ok(Some(Note::Ended { viewing, cause }))
                 }
                 // Events of kinds to come are passed over, as the format wants.
@@ -99,9 +98,9 @@
             Some(("", _)) => return Ok(Some(Note::Alive)),
             Some(("event", value)) => self.event = value.trim().into(),
             Some(("data", value)) if self.data.len() < MOST_LINE => self.data.push_str(value.trim()),
-            Some(("data", _)) => return Err(Garbled),
+            Some(("data", _)) => return Err(Garbled::LongLine),
             Some(("id" | "retry", _)) => {}
-            _ => return Err(Garbled),
+            _ => return Err(Garbled::NoField { line: line.chars().take(40).collect() }),
         }
         Ok(None)
     }
@@ -142,9 +141,11 @@
 
     #[test]
     fn what_is_no_stream_is_told() {
-        assert_eq!(read(&[b'x'; 5000], 64), Err(Garbled));
-        assert_eq!(read(b"HTTP/1.1 200 OK\n\n", 64), Err(Garbled));
-        assert_eq!(read(b"event: load\ndata: nonsense\n\n", 64), Err(Garbled));
+        assert_eq!(read(&[b'x'; 5000], 64), Err(Garbled::LongLine));
+        let line = "HTTP/1.1 200 OK".into();
+        assert_eq!(read(b"HTTP/1.1 200 OK\n\n", 64), Err(Garbled::NoField { line }));
+        assert_eq!(read(b"event: \xff\n\n", 64), Err(Garbled::NotText));
+        assert_eq!(read(b"event: load\ndata: nonsense\n\n", 64), Err(Garbled::Event { event: "load" }));
         assert_eq!(read(b"event: later\ndata: x\n\n", 64), Ok(vec![]));
     }
 }
