front: the plain pick and the tape take from the modules that define, not from the root

Cause: baseline and tape went through the root, which lists them: a circle of imports. Change: they name the defining modules. Result: 31 tests pass in -p ottersail-front; clippy passes.

--- a/front/src/baseline.rs
+++ b/front/src/baseline.rs
@@ -3,10 +3,11 @@
 //! viewing.
 
 use crate::decisions::{Decisions, Ended};
-use crate::ids::{BellTag, Cell, PackageIx, ServerId, TenantIx, ViewingId};
-use crate::state::{Availability, Entry, ListMode, Load, Topic, Wish};
-use crate::terms::Terms;
-use crate::{Answers, Ms};
+use ottersail::answers::Answers;
+use ottersail::ids::{BellTag, Cell, PackageIx, ServerId, TenantIx, ViewingId};
+use ottersail::state::{Availability, Entry, ListMode, Load, Topic, Wish};
+use ottersail::terms::Terms;
+use ottersail::time::Ms;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/front/src/tape.rs
+++ b/front/src/tape.rs
@@ -1,7 +1,7 @@
 //! What a front was told and what it wanted, a line each, so that it can be told the same again.
 
+use crate::front::Front;
 use crate::orders::{AskId, Asked, Orders, Reply, SetUp, SetUpEnd, WatchId};
-use crate::Front;
 use ottersail::ids::{Rung, ServerId, ViewingId};
 use ottersail::time::Ms;
 use ottersail_wire::catalogue::{Listed, Title};
