--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -1,22 +1,24 @@
 //! `ottersail node`: one manager on the live platform. Sockets, signals and the clock round `ottersail-platform`.
 
 mod channel;
+mod hub;
 mod lines;
+mod sockets;
+mod talk;
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use lines::Sockets;
+use hub::Hub;
 use ottersail::time::Ms;
-use ottersail_net::{block_on, executor, listen, Clock, Exec, Listener, Timer};
+use ottersail_net::{block_on, executor, listen, Clock, Listener, Timer};
 use ottersail_platform::config::{self, Start};
 use ottersail_platform::node::Node;
+use sockets::Sockets;
 use std::cell::{Cell, RefCell};
-use std::future::{poll_fn, Future};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
+use std::task::Waker;
 use std::time::Duration;
 use tracing::{info, warn};
 
@@ -28,73 +30,23 @@
 /// After a failed accept nothing is accepted for so long.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// All tasks of the manager hold it; none holds it across a wait.
-pub(crate) struct Hub {
-    pub exec: Exec,
-    pub clock: Clock,
-    pub node: RefCell<Node>,
-    pub sockets: RefCell<Sockets>,
-    pub channel: RefCell<String>,
-    /// Wakes the command channel's task when its address changes.
-    pub moved: RefCell<Option<Waker>>,
-    armed: Cell<f64>,
-    ringer: RefCell<Option<Waker>>,
-}
-
-impl Hub {
-    pub fn now(&self) -> Ms {
-        Ms(self.clock.now())
-    }
-
-    /// One input of the node, at this moment.
-    pub fn with<T>(&self, what: impl FnOnce(&mut Node, Ms, &mut Sockets) -> T) -> T {
-        let now = self.now();
-        let mut node = self.node.borrow_mut();
-        let done = what(&mut node, now, &mut self.sockets.borrow_mut());
-        if node.next().is_some_and(|it| it.0 < self.armed.get()) {
-            self.ringer.borrow_mut().take().into_iter().for_each(Waker::wake);
-        }
-        done
-    }
-
-    /// Rings the node whenever something is due.
-    async fn ring(self: Rc<Hub>) {
-        loop {
-            self.with(|node, now, sockets| node.ring(now, sockets));
-            let next = self.node.borrow().next().map_or(f64::INFINITY, |it| it.0);
-            self.armed.set(next);
-            let mut timer = pin!(Timer::at(self.clock.instant(next)));
-            let mut first = true;
-            poll_fn(|cx| {
-                if timer.as_mut().poll(cx).is_ready() || (!first && self.ringer.borrow().is_none()) {
-                    return Poll::Ready(());
-                }
-                first = false;
-                *self.ringer.borrow_mut() = Some(cx.waker().clone());
-                Poll::Pending
-            })
-            .await;
-        }
-    }
-
-    async fn accept(self: Rc<Hub>, listener: Listener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, from)) => self.welcome(stream, from),
-                Err(trouble) => {
-                    warn!(%trouble, "accept");
-                    Timer::after(PAUSE).await;
-                }
+async fn accept(hub: Rc<Hub>, listener: Listener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => welcome(&hub, stream, from),
+            Err(trouble) => {
+                warn!(%trouble, "accept");
+                Timer::after(PAUSE).await;
             }
         }
     }
+}
 
-    fn welcome(self: &Rc<Hub>, stream: TcpStream, from: SocketAddr) {
-        _ = stream.set_nodelay(true);
-        let from = from.ip().to_string();
-        let no = self.with(|node, now, sockets| node.viewer_opened(now, &from, sockets));
-        lines::serve_viewer(self.clone(), no, stream);
-    }
+fn welcome(hub: &Rc<Hub>, stream: TcpStream, from: SocketAddr) {
+    _ = stream.set_nodelay(true);
+    let from = from.ip().to_string();
+    let no = hub.with(|node, now, sockets| node.viewer_opened(now, &from, sockets));
+    lines::serve_viewer(hub.clone(), no, stream);
 }
 
 fn read(path: &Path) -> Result<Start, String> {
@@ -118,7 +70,7 @@
             .map_err(|trouble| vec![format!("signals can't be taken: {trouble}")])?;
         let (name, connect, channel) = (start.name.clone(), start.connect, start.channel.clone());
         let longest = start.longest;
-        let mut sockets = Sockets::new(exec, connect);
+        let mut sockets = Sockets::default();
         let node = Node::new(Ms(clock.now()), start, &mut sockets);
         let hub = Rc::new(Hub {
             exec,
@@ -130,11 +82,16 @@
             armed: Cell::new(f64::INFINITY),
             ringer: RefCell::default(),
         });
-        hub.sockets.borrow_mut().hub = Rc::downgrade(&hub);
+        let serves = Rc::downgrade(&hub);
+        hub.sockets.borrow_mut().dial = Some(Box::new(move |no, address, out| {
+            if let Some(hub) = serves.upgrade() {
+                exec.spawn(lines::serve_server(hub, no, address, connect, out)).detach();
+            }
+        }));
         let listener = listen(address).and_then(Listener::new);
         let listener = listener.map_err(|it| vec![format!("{address}: {it}; is another one running?")])?;
         exec.spawn(hub.clone().ring()).detach();
-        exec.spawn(hub.clone().accept(listener)).detach();
+        exec.spawn(accept(hub.clone(), listener)).detach();
         exec.spawn(channel::follow(hub.clone())).detach();
         info!(name, %address, "running");
         while let Some(signal) = signals.next().await {
--- a/daemon/src/node/channel.rs
+++ b/daemon/src/node/channel.rs
@@ -1,6 +1,6 @@
 //! The command channel: asked again and again from the last event that came whole.
 
-use super::Hub;
+use super::hub::Hub;
 use hyper::Method;
 use ottersail_net::{Client, Timer};
 use ottersail_platform::events::{self, Events};
--- /dev/null
+++ b/daemon/src/node/hub.rs
@@ -0,0 +1,61 @@
+//! What all tasks of the manager share: the node, its clock and its sockets.
+
+use super::sockets::Sockets;
+use ottersail::time::Ms;
+use ottersail_net::{Clock, Exec, Timer};
+use ottersail_platform::node::Node;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+/// All tasks of the manager hold it; none holds it across a wait.
+pub(crate) struct Hub {
+    pub exec: Exec,
+    pub clock: Clock,
+    pub node: RefCell<Node>,
+    pub sockets: RefCell<Sockets>,
+    pub channel: RefCell<String>,
+    /// Wakes the command channel's task when its address changes.
+    pub moved: RefCell<Option<Waker>>,
+    pub armed: Cell<f64>,
+    pub ringer: RefCell<Option<Waker>>,
+}
+
+impl Hub {
+    pub fn now(&self) -> Ms {
+        Ms(self.clock.now())
+    }
+
+    /// One input of the node, at this moment.
+    pub fn with<T>(&self, what: impl FnOnce(&mut Node, Ms, &mut Sockets) -> T) -> T {
+        let now = self.now();
+        let mut node = self.node.borrow_mut();
+        let done = what(&mut node, now, &mut self.sockets.borrow_mut());
+        if node.next().is_some_and(|it| it.0 < self.armed.get()) {
+            self.ringer.borrow_mut().take().into_iter().for_each(Waker::wake);
+        }
+        done
+    }
+
+    /// Rings the node whenever something is due.
+    pub async fn ring(self: Rc<Hub>) {
+        loop {
+            self.with(|node, now, sockets| node.ring(now, sockets));
+            let next = self.node.borrow().next().map_or(f64::INFINITY, |it| it.0);
+            self.armed.set(next);
+            let mut timer = pin!(Timer::at(self.clock.instant(next)));
+            let mut first = true;
+            poll_fn(|cx| {
+                if timer.as_mut().poll(cx).is_ready() || (!first && self.ringer.borrow().is_none()) {
+                    return Poll::Ready(());
+                }
+                first = false;
+                *self.ringer.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            })
+            .await;
+        }
+    }
+}
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -1,20 +1,23 @@
 //! The owner of placement: the one thread that holds the front, its clock and its record. What happens comes in as
 //! news from all cores; what the front wants goes out as errands. Nothing here decides.
 
+mod hands;
+mod record;
+
 use crate::metrics::{page, Times};
 use crate::post::{Core, Errand, News, Slot};
 use async_channel::{Receiver, Sender};
+use hands::Hands;
 use ottersail_cores::Room;
-use ottersail_front::ids::{Rung, ServerId, ViewingId};
+use ottersail_front::ids::ViewingId;
 use ottersail_front::tape::{Scribe, Told};
-use ottersail_front::{AskId, Front, Ms, Orders, Reply, SetUp};
+use ottersail_front::{AskId, Front, Ms};
 use ottersail_net::{slept, Clock, Server, Timer};
+pub use record::Tape;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::{BufWriter, Write};
 use std::rc::Rc;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tracing::warn;
 
@@ -41,30 +44,6 @@
     pub spent: Cell<Duration>,
 }
 
-/// Where all that is told and wanted is written down.
-pub struct Tape(BufWriter<File>);
-
-impl Tape {
-    /// # Errors
-    /// If the file can't be made.
-    pub fn begin(path: &std::path::Path, header: &serde_json::Value) -> std::io::Result<Tape> {
-        let mut tape = Tape(BufWriter::new(File::create(path)?));
-        writeln!(tape.0, "{header}")?;
-        tape.0.flush()?;
-        Ok(tape)
-    }
-
-    /// `core` is the one that saw it.
-    fn line(&mut self, at: f64, core: usize, told: &Told, wanted: &[String]) -> std::io::Result<()> {
-        let line = serde_json::json!({ "at": at, "core": core, "told": told, "wanted": wanted });
-        writeln!(self.0, "{line}")?;
-        self.0.flush()
-    }
-}
-
-/// Sends each wish to the core that sees to it.
-struct Hands<'a>(&'a Owner);
-
 impl Owner {
     pub fn new(
         clock: Clock,
@@ -235,55 +214,3 @@
         }
     }
 }
-
-impl Orders for Hands<'_> {
-    fn set_up(&mut self, it: &SetUp) {
-        let slots = self.0.slots.borrow();
-        let trace = it.ask.and_then(|ask| slots.get(&ask)).map_or(String::new(), |it| it.1.clone());
-        self.0.settle_at(&it.vw, it.ask);
-        let vw = it.vw.to_string();
-        let path =
-            format!("/viewings/{vw}/{}?title={}&package={}&rung={}", it.no, it.title, it.package, it.rung.0);
-        let (no, address, send_by) = (it.no, it.address.clone(), it.send_by.0);
-        self.0.send(self.0.home(&it.vw), Errand::SetUp { vw, no, address, path, trace, send_by });
-    }
-
-    fn call_off(&mut self, vw: &ViewingId, no: usize, _: &ServerId, address: &str) {
-        let (name, address) = (vw.to_string(), address.to_string());
-        self.0.send(self.0.home(vw), Errand::CallOff { vw: name, no, address });
-    }
-
-    fn change_rung(&mut self, vw: &ViewingId, _: &ServerId, address: &str, rung: Rung) {
-        let (name, address, rung) = (vw.to_string(), address.to_string(), rung.0);
-        self.0.send(self.0.home(vw), Errand::ChangeRung { vw: name, address, rung });
-    }
-
-    fn let_go(&mut self, vw: &ViewingId, _: &ServerId, address: &str) {
-        let (name, address) = (vw.to_string(), address.to_string());
-        self.0.send(self.0.home(vw), Errand::LetGo { vw: name, address });
-    }
-
-    fn reply(&mut self, ask: AskId, reply: Reply) {
-        if let Some((slot, _)) = self.0.slots.borrow_mut().remove(&ask) {
-            self.0.times.answered(&reply, self.0.clock.now() - slot.began);
-            *slot.reply.lock().unwrap_or_else(PoisonError::into_inner) = Some(reply);
-            _ = slot.ready.try_send(());
-        }
-    }
-
-    fn listen(&mut self, server: &ServerId, address: &str) {
-        let (server, address) = (server.to_string(), address.to_string());
-        self.0.send(self.0.core_of(&server), Errand::Listen { server, address });
-    }
-
-    fn hang_up(&mut self, server: &ServerId) {
-        let server = server.to_string();
-        self.0.send(self.0.core_of(&server), Errand::HangUp { server });
-    }
-
-    /// One that a core can't take is left to its time-out.
-    fn probe(&mut self, server: &ServerId, address: &str) {
-        let (server, address) = (server.to_string(), address.to_string());
-        self.0.send(self.0.core_of(&server), Errand::Probe { server, address });
-    }
-}
--- /dev/null
+++ b/daemon/src/worker/shared.rs
@@ -0,0 +1,51 @@
+//! What all cores read and few write.
+
+use crate::metrics::Times;
+use crate::post::{Core, News};
+use crate::settings::manager::Manager;
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use ottersail_front::Ms;
+use ottersail_net::Clock;
+use ottersail_tickets::Keys;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+/// What all cores read and few write.
+pub struct Shared {
+    pub clock: Clock,
+    pub reach: Reach,
+    pub keys: ArcSwap<Keys>,
+    pub listed: AtomicBool,
+    pub titled: AtomicBool,
+    pub times: Times,
+    pub cores: Vec<Arc<Core>>,
+    pub news: Sender<News>,
+}
+
+/// What a core reads of the settings.
+pub struct Reach {
+    pub me: u64,
+    pub list: String,
+    pub service: String,
+    pub list_wait: Ms,
+    pub list_retry: Ms,
+    pub connect: Ms,
+    pub silence: Ms,
+    pub stay_away: Option<f64>,
+}
+
+impl From<&Manager> for Reach {
+    fn from(it: &Manager) -> Reach {
+        Reach {
+            me: it.terms.me.0,
+            list: it.list.clone(),
+            service: it.service.clone(),
+            list_wait: it.list_wait,
+            list_retry: it.list_retry,
+            connect: it.connect,
+            silence: it.silence,
+            stay_away: it.terms.max_stay_away.map(|it| it.0),
+        }
+    }
+}
