daemon: errors with types of their own; run and rehearse in files by concern

Jobs gave their errors as strings, so that a text was all that callers and tests had, and many said what failed but not what to do. rehearse.rs (548 lines) and run.rs (357) held processes, steps, costs, start and play in one.

RunError, NodeError, ReplayError, JudgeError, LineError, RehearseError and Unclean say what is wrong, where (file and line, flag, key, address, manager) and what can be tried; main prints them and ends with 2 as before. What other packages tell is taken by its text. tests/errors.rs is a table of all variants, which the compiler holds to be whole, and asks each for its place, its cause and something to try; it found five texts without. judge and the end of a rehearsal share one function (judged.rs). rehearse is play, stage, steps, costs and files; run is start, process and the front without wishes.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,5 +1,8 @@
-//! What the program is made of: sockets, signals, settings, logs round the library `ottersail-front`; rehearsals.
+//! What the program is made of: sockets, signals, settings, logs round the library `ottersail-front`;
+//! rehearsals.
 
+pub mod error;
+pub mod judged;
 pub mod metrics;
 pub mod node;
 pub mod owner;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,11 +1,11 @@
 //! The session manager as a program.
 
 use clap::{Parser, Subcommand};
-use ottersail_daemon::{node, rehearse, replay, run, settings};
+use ottersail_daemon::error::{LineError, NodeError, RunError};
+use ottersail_daemon::{judged, node, rehearse, replay, run, settings};
 use ottersail_front::baseline::{Pick, PICKS};
-use ottersail_judge::{judge, record, write_report, Verdict};
-use std::fs::File;
-use std::io::BufReader;
+use ottersail_judge::Verdict;
+use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
@@ -14,7 +14,8 @@
 #[derive(Parser)]
 #[command(version, about)]
 struct Line {
-    /// What is logged: a level, or a filter such as info,ottersail_front=debug. A manager's default is info, else warn.
+    /// What is logged: a level, or a filter such as info,ottersail_front=debug. A manager's default is info,
+    /// else warn.
     #[arg(long, global = true)]
     log: Option<String>,
     /// Logs as JSON, one object a line.
@@ -49,7 +50,8 @@
     Node,
     /// Reads a manager's or a day's settings and tells all that is wrong with them.
     Check { settings: PathBuf },
-    /// Plays a day on loopback, managers, servers, players and faults, and judges it. Ends 0 if all rules hold.
+    /// Plays a day on loopback, managers, servers, players and faults, and judges it. Ends 0 if all rules
+    /// hold.
     Rehearse {
         day: PathBuf,
         /// Writes down what each manager was told and wanted, for `replay`.
@@ -102,7 +104,7 @@
     let log = line.log.clone().unwrap_or_else(|| if quiet { "warn" } else { "info" }.to_string());
     let filter = match EnvFilter::try_new(&log) {
         Ok(filter) => filter,
-        Err(trouble) => return complain(&[format!("--log {log}: {trouble}")]),
+        Err(it) => return complain(&LineError::Log { read: log, why: it.to_string() }),
     };
     let logs =
         tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
@@ -116,16 +118,16 @@
             let asked = run::Asked { record, seed, stall, with_parent, pick: pick.0 };
             match run::run(settings, asked) {
                 Ok(()) => ExitCode::SUCCESS,
-                Err(complaints) => complain(&complaints),
+                Err(trouble) => complain(&trouble),
             }
         }
         Job::Node => {
             let Some(path) = std::env::var_os("BALANCER_CONFIG").filter(|it| !it.is_empty()) else {
-                return complain(&["BALANCER_CONFIG must name the configuration file".to_string()]);
+                return complain(&NodeError::Unnamed);
             };
             match node::run(path.into()) {
                 Ok(()) => ExitCode::SUCCESS,
-                Err(complaints) => complain(&complaints),
+                Err(trouble) => complain(&trouble),
             }
         }
         Job::Check { settings } => match check(&settings) {
@@ -133,7 +135,7 @@
                 println!("{}: {what}", settings.display());
                 ExitCode::SUCCESS
             }
-            Err(complaints) => complain(&complaints),
+            Err(trouble) => complain(&trouble),
         },
         Job::Rehearse { day, record, traffic, seed, cores, keep, pick, managers, beside, report } => {
             let asked = rehearse::Rehearsal {
@@ -151,7 +153,7 @@
             };
             match rehearse::rehearse(&asked) {
                 Ok(verdict) => tell(&verdict),
-                Err(complaints) => complain(&complaints),
+                Err(trouble) => complain(&trouble),
             }
         }
         Job::Replay { record, keys } => match replay::replay(&record, keys) {
@@ -159,45 +161,32 @@
                 println!("{done}");
                 ExitCode::SUCCESS
             }
-            Err(trouble) => complain(&[trouble]),
+            Err(trouble) => complain(&trouble),
+        },
+        Job::Judge { traffic, report } => match judged::judged(&traffic, report.as_deref()) {
+            Ok(verdict) => tell(&verdict),
+            Err(trouble) => complain(&trouble),
         },
-        Job::Judge { traffic, report } => {
-            let file = File::open(&traffic).map_err(|it| it.to_string());
-            let read = file.and_then(|it| record::read(BufReader::new(it)));
-            let judged = read.and_then(|(terms, lines)| {
-                let verdict = judge(&terms, &lines);
-                if let Some(folder) = report {
-                    write_report(&folder, &terms, &lines, &verdict)?;
-                }
-                Ok(verdict)
-            });
-            match judged {
-                Ok(verdict) => tell(&verdict),
-                Err(trouble) => complain(&[format!("{}: {trouble}", traffic.display())]),
-            }
-        }
     }
 }
 
 #[derive(Clone, Copy)]
 struct Picked(Option<Pick>);
 
-fn pick(text: &str) -> Result<Picked, String> {
+fn pick(text: &str) -> Result<Picked, LineError> {
     let found = PICKS.iter().find(|it| it.0 == text).map(|it| Picked(it.1));
-    found.ok_or_else(|| {
-        format!("expected one of {}", PICKS.iter().map(|it| it.0).collect::<Vec<_>>().join(", "))
-    })
+    let words = || PICKS.iter().map(|it| it.0).collect();
+    found.ok_or_else(|| LineError::Pick { read: text.to_string(), words: words() })
 }
 
-fn stall(text: &str) -> Result<(usize, u64), String> {
+fn stall(text: &str) -> Result<(usize, u64), LineError> {
     let parts = text.split_once(':').and_then(|(core, ms)| Some((core.parse().ok()?, ms.parse().ok()?)));
-    parts.ok_or_else(|| "expected CORE:MS".to_string())
+    parts.ok_or_else(|| LineError::Stall { read: text.to_string() })
 }
 
-fn complain(complaints: &[String]) -> ExitCode {
-    for complaint in complaints {
-        eprintln!("{complaint}");
-    }
+/// What is wrong, where, and what can be tried: a line or more.
+fn complain(trouble: &dyn Display) -> ExitCode {
+    eprintln!("{trouble}");
     ExitCode::from(2)
 }
 
@@ -213,8 +202,8 @@
 }
 
 /// A day's file has a `[day]`; anything else is read as a manager's.
-fn check(path: &Path) -> Result<&'static str, Vec<String>> {
-    let text = std::fs::read_to_string(path).map_err(|it| vec![format!("{}: {it}", path.display())])?;
+fn check(path: &Path) -> Result<&'static str, RunError> {
+    let text = settings::load(path)?;
     if text.lines().any(|it| it.trim() == "[day]") {
         settings::day::read_day(path, &text)?;
         return Ok("a day that can be rehearsed");
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -1,4 +1,5 @@
-//! `ottersail node`: one manager on the live platform. Sockets, signals and the clock round `ottersail-platform`.
+//! `ottersail node`: one manager on the live platform. Sockets, signals and the clock round
+//! `ottersail-platform`.
 
 mod channel;
 mod hub;
@@ -6,6 +7,7 @@
 mod sockets;
 mod talk;
 
+use crate::error::NodeError;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use hub::Hub;
@@ -22,8 +24,8 @@
 use std::time::Duration;
 use tracing::{info, warn};
 
-/// After SIGTERM new set-ups are taken for so long at least. What stands is kept for the longest patience, counted as no
-/// more than so much, and this beyond it: SIGKILL may come 0.7 s past it.
+/// After SIGTERM new set-ups are taken for so long at least. What stands is kept for the longest patience,
+/// counted as no more than so much, and this beyond it: SIGKILL may come 0.7 s past it.
 const EARS: Ms = Ms(800.0);
 const LONGEST: Ms = Ms(3_000.0);
 const BEYOND: Ms = Ms(500.0);
@@ -49,25 +51,26 @@
     lines::serve_viewer(hub.clone(), no, stream);
 }
 
-fn read(path: &Path) -> Result<Start, String> {
-    let text = std::fs::read_to_string(path).map_err(|it| format!("{}: {it}", path.display()))?;
-    config::read(&text).map_err(|it| format!("{}: {it}", path.display()))
+fn read(path: &Path) -> Result<Start, NodeError> {
+    let file = || path.to_path_buf();
+    let text = std::fs::read_to_string(path).map_err(|why| NodeError::Unread { file: file(), why })?;
+    config::read(&text).map_err(|it| NodeError::Config { file: file(), why: it.to_string() })
 }
 
 /// Runs a manager; comes back after SIGTERM or SIGINT.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn run(path: PathBuf) -> Result<(), Vec<String>> {
-    let start = read(&path).map_err(|it| vec![it])?;
+pub fn run(path: PathBuf) -> Result<(), NodeError> {
+    let start = read(&path)?;
     let address: SocketAddr =
-        start.listen.parse().map_err(|it| vec![format!("{}: listen: {it}", path.display())])?;
+        start.listen.parse().map_err(|why| NodeError::Address { file: path.clone(), why })?;
     let exec = executor();
     let clock = Clock::start();
     block_on(exec.run(async {
         // Before the first test can be passed: a signal that comes early must not end the program.
         let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
-            .map_err(|trouble| vec![format!("signals can't be taken: {trouble}")])?;
+            .map_err(|why| NodeError::Signals { why })?;
         let (name, connect, channel) = (start.name.clone(), start.connect, start.channel.clone());
         let longest = start.longest;
         let mut sockets = Sockets::default();
@@ -89,7 +92,7 @@
             }
         }));
         let listener = listen(address).and_then(Listener::new);
-        let listener = listener.map_err(|it| vec![format!("{address}: {it}; is another one running?")])?;
+        let listener = listener.map_err(|why| NodeError::Listen { address, why })?;
         exec.spawn(hub.clone().ring()).detach();
         exec.spawn(accept(hub.clone(), listener)).detach();
         exec.spawn(channel::follow(hub.clone())).detach();
--- a/daemon/src/node/channel.rs
+++ b/daemon/src/node/channel.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 use tracing::{debug, warn};
 
-/// A short wait is asked for, so that a channel that has stopped is found out soon, and is bounded just past it.
+/// A short wait is asked for, so that a channel that has stopped is found out soon, and is bounded just past
+/// it.
 const WAIT: Duration = Duration::from_millis(1_000);
 const PAST: Duration = Duration::from_millis(300);
 const CONNECT: Duration = Duration::from_millis(300);
--- a/daemon/src/node/lines.rs
+++ b/daemon/src/node/lines.rs
@@ -13,8 +13,9 @@
 use std::task::Poll;
 use std::time::Duration;
 
-/// After the last word a connection is read for so long, so that the word is not lost to a reset: a viewer may still be
-/// sending what was refused at its head. A server's may go on for ever, and is read for a moment only.
+/// After the last word a connection is read for so long, so that the word is not lost to a reset: a viewer
+/// may still be sending what was refused at its head. A server's may go on for ever, and is read for a moment
+/// only.
 const LINGER: Duration = Duration::from_millis(2_500);
 const LINGER_AT_SERVER: Duration = Duration::from_millis(300);
 
--- a/daemon/src/node/talk.rs
+++ b/daemon/src/node/talk.rs
@@ -65,8 +65,8 @@
         .await;
         return;
     }
-    // What is still to be said goes out, and what still comes is read and dropped: closing on unread bytes would be a
-    // reset, which may overtake the last word.
+    // What is still to be said goes out, and what still comes is read and dropped: closing on unread bytes
+    // would be a reset, which may overtake the last word.
     let worth = |it: &Unsent| it.last && !it.overrun && (it.spoken || !it.bytes.is_empty());
     if worth(&out.borrow()) && lingering.get() < MOST_LINGERING {
         lingering.set(lingering.get() + 1);
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -1,5 +1,5 @@
-//! The owner of placement: the one thread that holds the front, its clock and its record. What happens comes in as
-//! news from all cores; what the front wants goes out as errands. Nothing here decides.
+//! The owner of placement: the one thread that holds the front, its clock and its record. What happens comes
+//! in as news from all cores; what the front wants goes out as errands. Nothing here decides.
 
 mod hands;
 mod record;
@@ -31,8 +31,9 @@
     tape: RefCell<Option<Tape>>,
     slots: RefCell<BTreeMap<AskId, (Arc<Slot>, String)>>,
     cores: Vec<Arc<Core>>,
-    /// The core that sees to a viewing, from its first set-up on: what is done for one viewing is done in order, so
-    /// that a set-up is closed before the next goes out, also where its core stands still in between.
+    /// The core that sees to a viewing, from its first set-up on: what is done for one viewing is done in
+    /// order, so that a set-up is closed before the next goes out, also where its core stands still in
+    /// between.
     homes: RefCell<BTreeMap<ViewingId, usize>>,
     room: RefCell<Room>,
     sweep_homes_at: Cell<usize>,
--- a/daemon/src/post.rs
+++ b/daemon/src/post.rs
@@ -11,8 +11,9 @@
 
 /// News that wait for the owner, of all cores together; a core that finds the queue full waits.
 pub const MOST_NEWS: usize = 8_192;
-/// Errands that wait for a core. Each set-up, call-off, step and end belongs to a viewing that is held, so that a core
-/// which stands still can't be sent more than that; past this, ends are left to the servers' leases.
+/// Errands that wait for a core. Each set-up, call-off, step and end belongs to a viewing that is held, so
+/// that a core which stands still can't be sent more than that; past this, ends are left to the servers'
+/// leases.
 pub const MOST_ERRANDS: usize = 262_144;
 
 /// A request that waits for its answer.
--- /dev/null
+++ b/daemon/src/rehearse/costs.rs
@@ -0,0 +1,48 @@
+//! What managers take of the machine, at rest and over the day.
+
+use super::stage::Manager;
+use crate::settings::day::Plan;
+use ottersail_judge::Event;
+use ottersail_rig::{cost, Cost};
+use ottersail_standins::Recorder;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Nobody comes for a while, and what the managers take meanwhile is written down.
+pub(super) fn rest(plan: &Plan, managers: &[Manager], recorder: &Recorder, interrupted: &AtomicBool) {
+    if plan.rest.0 <= 0.0 {
+        return;
+    }
+    // What starting took is not rest.
+    pause(Duration::from_secs(1), interrupted);
+    let all = || managers.iter().filter_map(|it| cost(it.child.id())).collect::<Vec<Cost>>();
+    let (before, began) = (all(), Instant::now());
+    pause(Duration::from_secs_f64(plan.rest.0 / 1e3), interrupted);
+    let (after, seconds) = (all(), began.elapsed().as_secs_f64());
+    let mean = |of: &dyn Fn(&Cost) -> f64, all: &[Cost]| all.iter().map(of).sum::<f64>() / all.len() as f64;
+    let more = |of: &dyn Fn(&Cost) -> f64| (mean(of, &after) - mean(of, &before)) / seconds;
+    recorder.note(Event::Rested {
+        managers: after.len(),
+        memory_kb: mean(&|it| it.memory_kb, &after),
+        wakes: more(&|it| it.wakes),
+        cpu: more(&|it| it.cpu),
+    });
+}
+
+/// Processor time that the managers have taken over the day; of those that were started again, the last life
+/// only.
+pub(super) fn spent(managers: &[Manager], before: &[Option<Cost>], recorder: &Recorder) {
+    let mut cpu = 0.0;
+    for (it, before) in managers.iter().zip(before) {
+        let now = cost(it.child.id()).map_or(0.0, |it| it.cpu);
+        cpu += now - before.filter(|_| it.lives == 1).map_or(0.0, |it| it.cpu);
+    }
+    recorder.note(Event::Spent { cpu });
+}
+
+fn pause(span: Duration, interrupted: &AtomicBool) {
+    let until = Instant::now() + span;
+    while Instant::now() < until && !interrupted.load(Ordering::Acquire) {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/daemon/src/rehearse/play.rs
@@ -0,0 +1,136 @@
+//! A day, played: the stand-ins in here, the managers beside, and what the players had of them.
+
+use super::costs::{rest, spent};
+use super::error::{at, RehearseError};
+use super::stage::{gather, own_address, wait_end, wait_ready, Manager, Stage};
+use super::steps::trouble;
+use super::{Rehearsal, ENDS, PLAY_OUT, START};
+use crate::judged::judged;
+use crate::settings::day::Plan;
+use crate::settings::write::{write_manager, Post};
+use ottersail::ids::ManagerIx;
+use ottersail::time::Ms;
+use ottersail_judge::{Event, Verdict};
+use ottersail_net::Clock;
+use ottersail_rig::cost;
+use ottersail_standins::{run_fleet, run_players, Crowd, FaultKind, Recorder};
+use ottersail_tickets::Keys;
+use rustix::process::Signal;
+use std::fs;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+pub(super) fn play(
+    plan: &Plan,
+    asked: &Rehearsal,
+    folder: &Path,
+    interrupted: &AtomicBool,
+) -> Result<Verdict, RehearseError> {
+    let clock = Clock::start();
+    let traffic = asked.traffic.clone().unwrap_or_else(|| folder.join("traffic.jsonl"));
+    let recorder = Recorder::begin(&traffic, clock, plan.judged());
+    let recorder = recorder.map_err(|it| unwritten(&traffic, it.to_string()))?;
+    let secret = |_| format!("{:032x}", fastrand::u128(..));
+    let keys_text = format!("b {}{}\na {}{}\n", secret(0), "AA", secret(1), "AA");
+    let file = folder.join("keys");
+    fs::write(&file, &keys_text).map_err(at(&file))?;
+    let keys = Keys::read(&keys_text).map_err(|it| RehearseError::Keys { file, why: it.to_string() })?;
+    let (go, going) = async_channel::bounded(1);
+    let fleet = run_fleet(&plan.day, &recorder, &keys, going)
+        .map_err(|it| RehearseError::Fleet { day: asked.day.clone(), why: it.to_string() })?;
+
+    let stall = plan.day.faults.iter().find(|it| it.kind == FaultKind::CoreStall);
+    let stage = Stage {
+        folder: folder.to_path_buf(),
+        program: std::env::current_exe().map_err(at("/proc/self/exe"))?,
+        recording: asked.record.is_some(),
+        log: asked.log.clone(),
+        seed: plan.day.seed,
+        beside: asked.beside.clone(),
+        pick: plan.pick,
+        one_seed: plan.one_seed,
+        stall: stall.map(|it| (asked.cores - 1, (it.size * 1e3) as u64)),
+    };
+    let zones: Vec<String> =
+        (0..plan.day.managers).map(|it| plan.day.zones[it % plan.day.zones.len()].clone()).collect();
+    let mut managers = Vec::new();
+    for (number, zone) in zones.iter().enumerate() {
+        let address = own_address(number)?;
+        let mut terms = plan.terms.clone();
+        terms.me = ManagerIx(number as u64);
+        terms.zone = zone.as_str().into();
+        if plan.day.probes(number) {
+            (terms.reports_on_probe, terms.reports_every) = (true, Ms(0.0));
+        }
+        let post = Post {
+            listen: &address.to_string(),
+            list: &fleet.lists[number].to_string(),
+            keys: "keys",
+            grace: plan.grace,
+            list_wait: Ms(2_000.0),
+            silence: Ms(3_000.0),
+            cores: asked.cores,
+        };
+        let file = folder.join(format!("manager-{number}.ini"));
+        fs::write(&file, write_manager(&terms, &post)).map_err(at(file))?;
+        let child = stage.start(number, 0)?;
+        managers.push(Manager { number, address, child, lives: 1, unclean: None });
+    }
+    let played = managers.iter().try_for_each(|it| wait_ready(it.address, START, interrupted)).map(|()| {
+        managers.iter().for_each(|it| recorder.note(Event::ManagerReady { manager: it.number }));
+        rest(plan, &managers, &recorder, interrupted);
+        let costs = managers.iter().map(|it| cost(it.child.id())).collect::<Vec<_>>();
+        let began = clock.now() + 200.0;
+        _ = go.send_blocking(began);
+        let crowd = Crowd {
+            day: plan.day.clone(),
+            recorder: recorder.clone(),
+            managers: managers.iter().map(|it| it.address).collect(),
+            zones,
+            sockets: [vec![fleet.list], fleet.servers.clone()].concat(),
+            behind: fleet.behind.clone(),
+            began,
+        };
+        let over = Arc::new(AtomicBool::new(false));
+        let players = std::thread::spawn({
+            let over = over.clone();
+            move || {
+                run_players(crowd, PLAY_OUT);
+                over.store(true, Ordering::Release);
+            }
+        });
+        trouble(plan, &stage, &recorder, clock.instant(began), &mut managers, (&over, interrupted));
+        if !interrupted.load(Ordering::Acquire) {
+            _ = players.join();
+            spent(&managers, &costs, &recorder);
+        }
+    });
+    if interrupted.load(Ordering::Acquire) {
+        // Those that are dropped are killed.
+        drop(managers);
+        return Err(RehearseError::Interrupted);
+    }
+    for it in &mut managers {
+        it.child.signal(Signal::CONT);
+        it.child.signal(Signal::TERM);
+    }
+    let unclean =
+        managers.iter_mut().filter_map(|it| wait_end(it, ENDS).or(it.unclean.take())).collect::<Vec<_>>();
+    fleet.stop();
+    recorder.close().map_err(|it| unwritten(&traffic, it.to_string()))?;
+    played?;
+    if !unclean.is_empty() {
+        return Err(RehearseError::Unclean { which: unclean });
+    }
+    if let Some(record) = &asked.record {
+        gather(&stage, &managers, record)?;
+        let file = format!("{}.keys", record.display());
+        fs::write(&file, &keys_text).map_err(at(file))?;
+    }
+    Ok(judged(&traffic, asked.report.as_deref())?)
+}
+
+fn unwritten(file: &Path, why: String) -> RehearseError {
+    RehearseError::Recorder { file: file.to_path_buf(), why }
+}
--- a/daemon/src/replay.rs
+++ b/daemon/src/replay.rs
@@ -1,5 +1,7 @@
-//! `ottersail replay`: tells a front on a fake clock what a record says it was told, and compares what it wants.
+//! `ottersail replay`: tells a front on a fake clock what a record says it was told, and compares what it
+//! wants.
 
+use crate::error::ReplayError;
 use crate::run::{house, NoOrders};
 use crate::settings::manager::read_manager;
 use ottersail_front::tape::{Scribe, Told};
@@ -47,32 +49,33 @@
 ///
 /// # Errors
 /// The first line at which the library wants something else, or what can't be read.
-pub fn replay(path: &Path, keys: Option<PathBuf>) -> Result<Replayed, String> {
-    let open = File::open(path).map_err(|it| format!("{}: {it}", path.display()))?;
+pub fn replay(path: &Path, keys: Option<PathBuf>) -> Result<Replayed, ReplayError> {
+    let file = || path.to_path_buf();
+    let unread = |why| ReplayError::Unread { file: file(), why };
+    let open = File::open(path).map_err(unread)?;
     let beside = PathBuf::from(format!("{}.keys", path.display()));
     let keys = keys.or_else(|| beside.exists().then_some(beside));
     let mut front: Option<Front> = None;
     let mut done = Replayed::default();
-    let lines: Vec<String> =
-        BufReader::new(open).lines().collect::<Result<_, _>>().map_err(|it| it.to_string())?;
-    for (no, line) in lines.iter().enumerate() {
-        let at = |what: String| format!("{}:{}: {what}", path.display(), no + 1);
-        if let Ok(header) = serde_json::from_str::<Header>(line) {
-            front = Some(begin(&header, keys.as_deref()).map_err(at)?);
+    let lines: Vec<String> = BufReader::new(open).lines().collect::<Result<_, _>>().map_err(unread)?;
+    for (no, text) in lines.iter().enumerate() {
+        let line = no + 1;
+        if let Ok(header) = serde_json::from_str::<Header>(text) {
+            front = Some(begin(&header, keys.as_deref(), (path, line))?);
             done.fronts += 1;
             continue;
         }
-        let step = match serde_json::from_str::<Step>(line) {
+        let step = match serde_json::from_str::<Step>(text) {
             Ok(step) => step,
             // A killed manager leaves half a line, and the next begins anew.
-            Err(_) if lines.get(no + 1).is_none_or(|it| it.starts_with("{\"begins\"")) => {
+            Err(_) if lines.get(line).is_none_or(|it| it.starts_with("{\"begins\"")) => {
                 done.torn += 1;
                 continue;
             }
-            Err(trouble) => return Err(at(trouble.to_string())),
+            Err(why) => return Err(ReplayError::Line { file: file(), line, why }),
         };
         let Some(front) = front.as_mut() else {
-            return Err(at("a record begins with its settings".into()));
+            return Err(ReplayError::Headless { file: file(), line });
         };
         let mut wanted = Vec::new();
         step.told.tell(front, Ms(step.at), &mut Scribe { lines: &mut wanted, out: None });
@@ -81,23 +84,25 @@
             let (now, then) = pair.map_or((wanted.len().to_string(), step.wanted.len().to_string()), |it| {
                 (it.0.clone(), it.1.clone())
             });
-            return Err(at(format!("wanted now\n  {now}\nand then\n  {then}")));
+            return Err(ReplayError::Differs { file: file(), line, now, then });
         }
         done.told += 1;
         done.wanted += wanted.len();
     }
     if done.told == 0 {
-        return Err(format!("{}: nothing was told in this record", path.display()));
+        return Err(ReplayError::Nothing { file: file() });
     }
     Ok(done)
 }
 
-fn begin(header: &Header, keys: Option<&Path>) -> Result<Front, String> {
-    let manager = read_manager(Path::new(&header.file), &header.settings).map_err(|it| it.join("\n"))?;
+fn begin(header: &Header, keys: Option<&Path>, (path, line): (&Path, usize)) -> Result<Front, ReplayError> {
+    let file = || path.to_path_buf();
+    let manager = read_manager(Path::new(&header.file), &header.settings)
+        .map_err(|why| ReplayError::Settings { file: file(), line, why })?;
     let keys = keys.unwrap_or(&manager.keys);
-    let text = std::fs::read_to_string(keys)
-        .map_err(|it| format!("{}: {it}; name the keys of that time with --keys", keys.display()))?;
-    let keys = Keys::read(&text)?;
+    let wrong = |why: String| ReplayError::Keys { file: file(), line, keys: keys.to_path_buf(), why };
+    let text = std::fs::read_to_string(keys).map_err(|it| wrong(it.to_string()))?;
+    let keys = Keys::read(&text).map_err(|it| wrong(it.to_string()))?;
     Ok(Front::new(
         Ms(header.begins),
         header.seed,
--- a/daemon/src/service.rs
+++ b/daemon/src/service.rs
@@ -15,7 +15,8 @@
 /// A title's or watch's name may be so long.
 const MOST_NAME: usize = 100;
 
-/// Until it must be given up, a reload waits for its answer; patience was told with the first request, to the owner.
+/// Until it must be given up, a reload waits for its answer; patience was told with the first request, to the
+/// owner.
 const LONGEST: f64 = 120_000.0;
 
 pub struct Service {
@@ -147,9 +148,25 @@
     let (status, kind, stay_away, text) = parts(reply);
     let stay_away = stay_away.map_or(String::new(), |it| format!("retry-after: {it}\r\n"));
     format!(
-        "HTTP/1.1 {status}\r\ncontent-type: {kind}\r\ncache-control: no-store\r\n{stay_away}content-length: {}\r\n\
-         connection: close\r\n\r\n{text}",
+        "HTTP/1.1 {status}\r\ncontent-type: {kind}\r\ncache-control: no-store\r\n{stay_away}\
+         content-length: {}\r\nconnection: close\r\n\r\n{text}",
         text.len()
     )
     .into_bytes()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A stray space in the head would make a header of what is none, and nobody reads these bytes but
+    /// a player.
+    #[test]
+    fn an_answer_in_anothers_place_is_whole() {
+        let text = String::from_utf8(raw(Reply::Blocked { stay_away: Some(1_200.0) })).unwrap();
+        let expected = "HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n\
+            cache-control: no-store\r\nretry-after: 2\r\ncontent-length: 8\r\n\
+            connection: close\r\n\r\nblocked\n";
+        assert_eq!(text, expected);
+    }
+}
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -2,6 +2,7 @@
 
 use super::error::SettingsError;
 use super::fault::faults;
+use super::load;
 use super::sheet::{Section, Sheet};
 use super::terms::terms;
 use ottersail::terms::{Repeat, Terms};
@@ -28,7 +29,15 @@
     pub one_seed: bool,
 }
 
-/// Reads a day's file.
+/// Reads the file of a day.
+///
+/// # Errors
+/// If it can't be read, or every complaint, each with file and line.
+pub fn load_day(path: &Path) -> Result<Plan, SettingsError> {
+    read_day(path, &load(path)?)
+}
+
+/// Reads a day's file as text.
 ///
 /// # Errors
 /// Every complaint, each with file and line.
--- a/daemon/src/settings/error.rs
+++ b/daemon/src/settings/error.rs
@@ -100,7 +100,8 @@
     }
 }
 
-/// Of the names that are known the one that may have been meant: at most a third of its letters are other ones.
+/// Of the names that are known the one that may have been meant: at most a third of its letters are other
+/// ones.
 pub(super) fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     let far = |it: &str| strsim::damerau_levenshtein(name, it);
     let near = |it: &&str| far(it) * 3 <= it.chars().count().max(name.chars().count());
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -80,10 +80,10 @@
 
     const FILE: &str = "[manager]\nnumber = 1\nmanagers = 3\nzone = a\nlisten = 127.0.0.1:8080\nkeys = k\n\
         [list]\naddress = 127.0.0.1:8500\nservice = streaming\nwait-ms = 2000\n[servers]\nsilence-ms = 3000\n\
-        [ladder]\nrates-kb = 100, 200, 400\nlink-unit-kb = 3000\nrack-link-kb = 9000\nuplinks-reported = yes\n\
-        cells = 12\nracks = 2\nplaces = small:20, large:40\nseen-after-ms = 900\nreports-every-ms = 3000\n\
-        change-cost-ms = 600\n[rules]\ndrain-grace-ms = 1000\ncold-ms = 8000\nstart-capacity = 0.3\n\
-        fall-multiple = 3\nfall-ms = 2000\nmax-tune-ins = 3\nmax-stay-away-ms = 500\nbudget-free = 5\n\
+        [ladder]\nrates-kb = 100, 200, 400\nlink-unit-kb = 3000\nrack-link-kb = 9000\n\
+        uplinks-reported = yes\ncells = 12\nracks = 2\nplaces = small:20, large:40\nseen-after-ms = 900\n\
+        reports-every-ms = 3000\nchange-cost-ms = 600\n[rules]\ndrain-grace-ms = 1000\ncold-ms = 8000\n\
+        start-capacity = 0.3\nfall-multiple = 3\nfall-ms = 2000\nmax-tune-ins = 3\nmax-stay-away-ms = 500\nbudget-free = 5\n\
         budget-ratio = 0.2\nbudget-span-ms = 10000\n[package clips]\nvalue = 1\njoin-target-ms = 800\n\
         repeat = safe\nfloor = 1\n[package rides]\nvalue = 3\njoin-target-ms = 1000\nrepeat = keyed\n\
         group = zone\nwindow-ms = 5000\nseats = 4\n[tenant coop]\nallowance-per-s = 2.5\n";
@@ -129,21 +129,54 @@
     #[test_case("number = 1", "number = 3", "m.ini:2: number: counts from 0"; "a number past the count")]
     #[test_case("floor = 1", "floor = 2\ntop = 1", "floor: must not be above top, 1"; "floor above top")]
     #[test_case("100, 200", "300, 200", "each rung's rate must be higher"; "a ladder that falls")]
-    #[test_case("silence-ms = 3000", "send-within-ms = 1000", "must be under the drain grace of 1000 ms"; "sent past the grace")]
+    #[test_case(
+        "silence-ms = 3000", "send-within-ms = 1000", "must be under the drain grace of 1000 ms";
+        "sent past the grace"
+    )]
     #[test_case("budget-free = 5\n", "", "[rules] lacks budget-free"; "half a budget")]
     #[test_case("repeat = safe", "repeat = often", "expected one of safe, unsafe, keyed"; "an unknown word")]
     #[test_case("listen = 127.0.0.1:8080", "listen = here", "expected an address like"; "no address")]
-    #[test_case("zone = a", "zone = a\nzoen = b", "m.ini:5: zoen is not known in [manager]"; "an unknown key")]
-    #[test_case("cells = 12", "cells = 12\nreports-on-probe = yes", "needs probes, but [rules] has no probes-allowed"; "probes needed but not allowed")]
-    #[test_case("cells = 12", "cells = 12\njoin = 1.5", "m.ini:19: join: expected a number from 0 to 1"; "a share of a stream over one")]
-    #[test_case("floor = 1", "floor = 1\nlive = yes", "live: shares streams, but [ladder] has no join under 1"; "live without a share")]
-    #[test_case("cells = 12", "cells = 12\nworth = 0.5, 1", "one figure for each of the 3 rungs"; "worth of other rungs")]
+    #[test_case(
+        "zone = a", "zone = a\nzoen = b", "m.ini:5: zoen is not known in [manager]";
+        "an unknown key"
+    )]
+    #[test_case(
+        "cells = 12", "cells = 12\nreports-on-probe = yes", "needs probes, but [rules] has no probes-allowed";
+        "probes needed but not allowed"
+    )]
+    #[test_case(
+        "cells = 12", "cells = 12\njoin = 1.5", "m.ini:19: join: expected a number from 0 to 1";
+        "a share of a stream over one"
+    )]
+    #[test_case(
+        "floor = 1", "floor = 1\nlive = yes", "live: shares streams, but [ladder] has no join under 1";
+        "live without a share"
+    )]
+    #[test_case(
+        "cells = 12", "cells = 12\nworth = 0.5, 1", "one figure for each of the 3 rungs";
+        "worth of other rungs"
+    )]
     #[test_case("[list]", "[lits]", "[list] is missing"; "a section with another name")]
-    #[test_case("[list]", "[lits]", "[lits] is not known here; did you mean [list]?"; "letters of a heading that changed places")]
-    #[test_case("[package clips]", "[pakage clips]", "did you mean [package clips]?"; "a letter that a heading lacks")]
-    #[test_case("[rules]", "[fleet]\n[rules]", "m.ini:24: [fleet] is not known here; it belongs in a day's file"; "a day's section")]
-    #[test_case("wait-ms", "wiat-ms", "m.ini:10: wiat-ms is not known in [list]; did you mean wait-ms?"; "letters of a key that changed places")]
-    #[test_case("wait-ms", "colour", "m.ini:10: colour is not known in [list]; take it out"; "a key like none")]
+    #[test_case(
+        "[list]", "[lits]", "[lits] is not known here; did you mean [list]?";
+        "letters of a heading that changed places"
+    )]
+    #[test_case(
+        "[package clips]", "[pakage clips]", "did you mean [package clips]?";
+        "a letter that a heading lacks"
+    )]
+    #[test_case(
+        "[rules]", "[fleet]\n[rules]", "m.ini:24: [fleet] is not known here; it belongs in a day's file";
+        "a day's section"
+    )]
+    #[test_case(
+        "wait-ms", "wiat-ms", "m.ini:10: wiat-ms is not known in [list]; did you mean wait-ms?";
+        "letters of a key that changed places"
+    )]
+    #[test_case(
+        "wait-ms", "colour", "m.ini:10: colour is not known in [list]; take it out";
+        "a key like none"
+    )]
     fn contradictions_are_told(was: &str, becomes: &str, expected: &str) {
         let told = read(&FILE.replace(was, becomes)).unwrap_err().to_string();
         assert!(told.contains(expected), "{told}");
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -1,5 +1,5 @@
-//! Settings files: INI, read with their lines so that every complaint tells where it belongs. Which sections there are is
-//! listed in [`sections`].
+//! Settings files: INI, read with their lines so that every complaint tells where it belongs. Which sections
+//! there are is listed in [`sections`].
 
 pub mod day;
 pub mod error;
@@ -12,5 +12,16 @@
 mod terms;
 pub mod write;
 
+use error::SettingsError;
+use std::path::Path;
+
+/// The text of a settings file.
+///
+/// # Errors
+/// If it can't be read.
+pub fn load(file: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(file).map_err(|why| SettingsError::Unread { file: file.to_path_buf(), why })
+}
+
 /// Times that are told in milliseconds: up to an hour.
 const SPAN: std::ops::RangeInclusive<f64> = 1.0..=3.6e6;
--- a/daemon/src/settings/sections.rs
+++ b/daemon/src/settings/sections.rs
@@ -1,6 +1,6 @@
-//! All sections that settings have, and the module that reads each. A further one gets a module with a function that
-//! takes the [`Sheet`](super::sheet::Sheet), its line here, and its call in `read_manager` or `read_day`; one that is off
-//! unless told asks with [`section_if`](super::sheet::Sheet::section_if).
+//! All sections that settings have, and the module that reads each. A further one gets a module with a
+//! function that takes the [`Sheet`](super::sheet::Sheet), its line here, and its call in `read_manager` or
+//! `read_day`; one that is off unless told asks with [`section_if`](super::sheet::Sheet::section_if).
 
 /// The files in which a section may stand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -10,8 +10,8 @@
     Both,
 }
 
-/// A section by its heading, the files it may stand in, and the module that reads it. Where NAME follows, there may be
-/// several.
+/// A section by its heading, the files it may stand in, and the module that reads it. Where NAME follows,
+/// there may be several.
 pub const SECTIONS: &[(&str, In, &str)] = &[
     ("manager", In::Manager, "manager"),
     ("list", In::Manager, "links"),
--- a/daemon/src/settings/sheet/values.rs
+++ b/daemon/src/settings/sheet/values.rs
@@ -1,5 +1,5 @@
-//! The values of keys, each read as what it should be. What can't be read is complained of, and something in range is given
-//! in its place, so that the rest of the file is looked at too.
+//! The values of keys, each read as what it should be. What can't be read is complained of, and something in
+//! range is given in its place, so that the rest of the file is looked at too.
 
 use super::Section;
 use crate::settings::error::Wrong;
--- a/daemon/src/settings/write.rs
+++ b/daemon/src/settings/write.rs
@@ -48,8 +48,8 @@
         text += &format!("worth = {}\n", join(&terms.worth));
     }
     text += &format!(
-        "\n[rules]\nprobes-allowed = {}\ndrain-grace-ms = {}\ncold-ms = {}\nstart-capacity = {}\nfall-multiple = {}\nfall-ms = {}\n\
-         max-tune-ins = {}\ncross-price = {}\n",
+        "\n[rules]\nprobes-allowed = {}\ndrain-grace-ms = {}\ncold-ms = {}\nstart-capacity = {}\n\
+         fall-multiple = {}\nfall-ms = {}\nmax-tune-ins = {}\ncross-price = {}\n",
         yes(terms.reports_on_probe),
         grace.0,
         terms.cold.lasts.0,
--- a/daemon/src/worker.rs
+++ b/daemon/src/worker.rs
@@ -102,7 +102,8 @@
                 self.set_ups.borrow_mut().insert(name, task);
             }
             Errand::CallOff { vw, no, address } => {
-                // Dropping the task resets its connection, so that a set-up that is still on its way stays there.
+                // Dropping the task resets its connection, so that a set-up that is still on its way stays
+                // there.
                 drop(self.set_ups.borrow_mut().remove(&vw));
                 self.parting(address, format!("/viewings/{vw}/{no}"), None);
             }
--- a/daemon/src/worker/ask.rs
+++ b/daemon/src/worker/ask.rs
@@ -12,8 +12,8 @@
 use tracing::warn;
 
 impl Worker {
-    /// Puts a request to the owner and waits for its answer; if the waiting is given up, the viewer has left. `None`
-    /// if another core has answered in this one's place.
+    /// Puts a request to the owner and waits for its answer; if the waiting is given up, the viewer has left.
+    /// `None` if another core has answered in this one's place.
     pub async fn ask(
         self: &Rc<Worker>,
         line: Line,
@@ -79,7 +79,8 @@
         if core.waiting.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.ask).is_none() {
             return;
         }
-        // The viewer closed its connection. If the owner has taken the request, it must know; if not, it never will.
+        // The viewer closed its connection. If the owner has taken the request, it must know; if not, it
+        // never will.
         if self.slot.claim.answer() == Some(Stage::Taken) {
             let (worker, ask) = (self.worker.clone(), self.ask);
             self.worker.spawn(async move { worker.tell(Told::Left { ask }).await });
--- a/daemon/src/worker/list.rs
+++ b/daemon/src/worker/list.rs
@@ -30,7 +30,8 @@
                 Some(Ok(answer)) if answer.status == StatusCode::OK => {
                     let at =
                         answer.headers.get(INDEX_HEADER).and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
-                    // What was told already is not read again: at hundreds of managers that is most of their work at rest.
+                    // What was told already is not read again: at hundreds of managers that is most of their
+                    // work at rest.
                     if at.is_some() && at == index {
                         futures_lite::future::yield_now().await;
                         continue;
@@ -57,7 +58,8 @@
                 Some(Err(failure)) => format!("{failure:?}"),
                 None => "no answer in time".into(),
             };
-            warn!(list = %reach.list, servers, cause = trouble, "the list could not be had; the last one holds");
+            let list = &reach.list;
+            warn!(%list, servers, cause = trouble, "the list could not be had; the last one holds");
             if servers {
                 self.tell(Told::ListFailed).await;
             }
--- a/daemon/tests/cores/races.rs
+++ b/daemon/tests/cores/races.rs
@@ -30,8 +30,9 @@
     assert_eq!(played(&answers), answers.values().sum::<usize>(), "{answers:?}");
 }
 
-/// While four cores place viewings the list changes again and again between two that have nothing in common: a title's
-/// only holder is then told or not, and what is set up goes to one that the newest list, or one within the grace, named.
+/// While four cores place viewings the list changes again and again between two that have nothing in common:
+/// a title's only holder is then told or not, and what is set up goes to one that the newest list, or one
+/// within the grace, named.
 #[test]
 fn no_core_acts_on_half_a_list() {
     let heard = Heard::default();
@@ -104,7 +105,8 @@
     assert!(aborted <= lost, "{aborted} aborted, {lost} taken by the one that fell");
 }
 
-/// Just started, with room for one new viewing a second: twelve ask on four cores in the same moment, again and again.
+/// Just started, with room for one new viewing a second: twelve ask on four cores in the same moment, again
+/// and again.
 #[test]
 fn a_cold_server_with_room_for_one() {
     let heard = Heard::default();
--- a/daemon/tests/cores/seat.rs
+++ b/daemon/tests/cores/seat.rs
@@ -9,9 +9,9 @@
 /// A viewing's set-ups as its server hears them: the first, and its end.
 type Spans = BTreeMap<String, (Option<Instant>, Option<Instant>)>;
 
-/// A thousand times eight ask for one seat on four cores in the same moment, and leave: it is never had twice, and had
-/// again after each. A seat is given back when its viewer leaves; what is on the wire then may cross what comes next,
-/// for a moment.
+/// A thousand times eight ask for one seat on four cores in the same moment, and leave: it is never had
+/// twice, and had again after each. A seat is given back when its viewer leaves; what is on the wire then may
+/// cross what comes next, for a moment.
 #[test]
 fn the_last_seat_is_given_once_on_four_cores() {
     const ROUNDS: usize = 1_000;
--- a/daemon/tests/node/changes.rs
+++ b/daemon/tests/node/changes.rs
@@ -70,7 +70,8 @@
         let mut viewer = Viewer::new(node.address);
         assert!(viewer.asks(&format!("{number:016x}")).starts_with("RTSP/1.0 200"), "{}", node.log());
         viewer.say(&format!(
-            "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {number:016x}\r\nContent-Length: 0\r\n\r\n"
+            "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {number:016x}\r\n\
+             Content-Length: 0\r\n\r\n"
         ));
         assert!(viewer.hears().unwrap().starts_with("RTSP/1.0 200"));
         if number % 40 == 0 {
--- a/daemon/tests/node/main.rs
+++ b/daemon/tests/node/main.rs
@@ -12,8 +12,9 @@
 use std::path::PathBuf;
 use std::process::Command;
 
-/// The whole-fleet platform refuses child processes, io_uring and sockets other than TCP and UDP over IPv4, and loads a
-/// library of its own into the process: what `run` starts must need none of these, and be linked dynamically.
+/// The whole-fleet platform refuses child processes, io_uring and sockets other than TCP and UDP over IPv4,
+/// and loads a library of its own into the process: what `run` starts must need none of these, and be linked
+/// dynamically.
 #[test]
 fn nothing_is_used_that_the_platform_refuses() {
     let deploy = include_str!("../../../deploy/balancer.toml");
@@ -44,7 +45,8 @@
     };
     let tcp = table("tcp", 9);
     let other: Vec<&&str> = inodes.iter().filter(|it| !tcp.iter().any(|tcp| tcp == **it)).collect();
-    // The pair by which the signals' handler wakes the program: both ends are its own, and neither has a name.
+    // The pair by which the signals' handler wakes the program: both ends are its own, and neither has a
+    // name.
     let unix = table("unix", 6);
     assert!(other.len() <= 2 && other.iter().all(|it| unix.iter().any(|unix| unix == **it)), "{other:?}");
     let named: Vec<String> = read("net/unix")
--- a/daemon/tests/node/peer.rs
+++ b/daemon/tests/node/peer.rs
@@ -69,8 +69,8 @@
 }
 
 pub fn host(name: &str, at: SocketAddr, health: &str) -> Value {
-    json!({ "host": name, "dial": at.to_string(), "site": "z", "class": "k", "block": 0, "share": 1, "health": health,
-        "born_ms": 0 })
+    json!({ "host": name, "dial": at.to_string(), "site": "z", "class": "k", "block": 0, "share": 1,
+        "health": health, "born_ms": 0 })
 }
 
 pub struct Viewer {
@@ -126,7 +126,8 @@
 pub fn set_up(id: &str) -> String {
     format!(
         "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nSubject: clips\r\n\
-         X-Patience: 4000\r\nX-Facts: home:0;copies:1;top:1;viewer:00000000b4d65521\r\nContent-Length: 3\r\n\r\nx\r\n"
+         X-Patience: 4000\r\nX-Facts: home:0;copies:1;top:1;viewer:00000000b4d65521\r\n\
+         Content-Length: 3\r\n\r\nx\r\n"
     )
 }
 
--- a/daemon/tests/node/process.rs
+++ b/daemon/tests/node/process.rs
@@ -28,8 +28,9 @@
             "settings": {
                 "classes": [{ "name": "clips", "promise-ns": 800_000_000u64, "give-up-ns": 1_000_000_000u64,
                     "semantics": "idempotent", "points": 1 }],
-                "extra": { "rates-kb": [100, 200], "places": 1, "racks": 1, "link-unit-kb": 1e6, "rack-link-kb": 1e7,
-                    "places-by-kind": [1000], "seen-after-ns": 500_000_000u64, "reports-every-ns": 2_000_000_000u64,
+                "extra": { "rates-kb": [100, 200], "places": 1, "racks": 1, "link-unit-kb": 1e6,
+                    "rack-link-kb": 1e7, "places-by-kind": [1000], "seen-after-ns": 500_000_000u64,
+                    "reports-every-ns": 2_000_000_000u64,
                     "change-costs-s": 0.3, "lowest-rung": [0], "top-by-class": [1], "scale-by-class": [1] },
                 "skus": ["k"], "az": "z", "peers-total": 1, "me": 0, "tick-ns": 10_000_000,
                 "allowed": { "max-attempts": 3, "retry-after": true, "max-retry-after-ns": 500_000_000u64,
--- a/daemon/tests/node/viewings.rs
+++ b/daemon/tests/node/viewings.rs
@@ -22,7 +22,10 @@
     let release = viewer.hears().unwrap();
     assert!(release.starts_with("TEARDOWN") && release.contains("cause=16"), "{release}");
     assert!(viewer.asks(TWO).starts_with("RTSP/1.0 200"));
-    viewer.say(&format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {TWO}\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"));
+    viewer.say(&format!(
+        "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {TWO}\r\nReason: cause=16\r\n\
+         Content-Length: 0\r\n\r\n"
+    ));
     assert!(viewer.hears().unwrap().starts_with("RTSP/1.0 200"));
     assert!(within(2, || peer.heard("FINISH", TWO)));
 }
--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -44,7 +44,8 @@
     let output = program().arg("replay").arg(&tape).output().unwrap();
     assert_eq!(output.status.code(), Some(2), "{}", text(&output));
     assert!(text(&output).contains("wanted now"));
-    // And the record of the sockets says the same when it is judged again, and otherwise once an answer is missing.
+    // And the record of the sockets says the same when it is judged again, and otherwise once an answer is
+    // missing.
     let traffic = folder.join("traffic");
     let output = program().arg("judge").arg(&traffic).output().unwrap();
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
