--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -83,10 +83,10 @@
         [ladder]\nrates-kb = 100, 200, 400\nlink-unit-kb = 3000\nrack-link-kb = 9000\n\
         uplinks-reported = yes\ncells = 12\nracks = 2\nplaces = small:20, large:40\nseen-after-ms = 900\n\
         reports-every-ms = 3000\nchange-cost-ms = 600\n[rules]\ndrain-grace-ms = 1000\ncold-ms = 8000\n\
-        start-capacity = 0.3\nfall-multiple = 3\nfall-ms = 2000\nmax-tune-ins = 3\nmax-stay-away-ms = 500\nbudget-free = 5\n\
-        budget-ratio = 0.2\nbudget-span-ms = 10000\n[package clips]\nvalue = 1\njoin-target-ms = 800\n\
-        repeat = safe\nfloor = 1\n[package rides]\nvalue = 3\njoin-target-ms = 1000\nrepeat = keyed\n\
-        group = zone\nwindow-ms = 5000\nseats = 4\n[tenant coop]\nallowance-per-s = 2.5\n";
+        start-capacity = 0.3\nfall-multiple = 3\nfall-ms = 2000\nmax-tune-ins = 3\nmax-stay-away-ms = 500\n\
+        budget-free = 5\nbudget-ratio = 0.2\nbudget-span-ms = 10000\n[package clips]\nvalue = 1\n\
+        join-target-ms = 800\nrepeat = safe\nfloor = 1\n[package rides]\nvalue = 3\njoin-target-ms = 1000\n\
+        repeat = keyed\ngroup = zone\nwindow-ms = 5000\nseats = 4\n[tenant coop]\nallowance-per-s = 2.5\n";
 
     fn read(text: &str) -> Result<Manager, SettingsError> {
         read_manager(Path::new("m.ini"), text)
--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -1,4 +1,7 @@
 //! An INI file with the line of each thing in it, and the complaints about it, all told in one go.
+//!
+//! Read over `ini_core` and not through a reader for serde: `serde_ini` ends at the first mistake and tells
+//! no line, `rust-ini` and `configparser` keep no lines of keys, and the latter merges what is there twice.
 
 #[cfg(test)]
 mod tests;
