daemon: what is asked of a rehearsal is a module that its parts read

rehearse.rs held the request and the spans that play.rs and steps.rs took from it, while it called them. They are in rehearse/asked.rs now, and names go one way.

--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -1,6 +1,7 @@
 //! `ottersail rehearse`: a day on loopback. The managers are processes of their own, so that they can be
 //! killed and stopped as such; servers, list and players run in here.
 
+mod asked;
 mod costs;
 mod error;
 mod files;
@@ -9,50 +10,23 @@
 mod steps;
 
 use crate::settings::day::load_day;
+pub use asked::Rehearsal;
 use async_signal::Signals;
 use error::at;
 pub use error::{RehearseError, Unclean};
 use files::bears;
 use futures_lite::StreamExt;
-use ottersail_front::baseline::Pick;
 use ottersail_judge::Verdict;
 use ottersail_net::block_on;
 use play::play;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Managers that a rehearsal starts as processes.
 const MOST_MANAGERS: usize = 400;
 
-/// What is asked of a rehearsal.
-pub struct Rehearsal {
-    pub day: PathBuf,
-    pub record: Option<PathBuf>,
-    pub traffic: Option<PathBuf>,
-    pub seed: Option<u64>,
-    /// How loud the managers are.
-    pub log: String,
-    pub keep: bool,
-    /// Cores of each manager.
-    pub cores: usize,
-    /// Managers that pick plainly, and so many of them, in place of the day's own.
-    pub pick: Option<Option<Pick>>,
-    pub managers: Option<usize>,
-    /// Another version of the program, for every second manager.
-    pub beside: Option<PathBuf>,
-    /// Where figures and plots go.
-    pub report: Option<PathBuf>,
-}
-
-/// After the last viewer has come, those who watch have so long to end.
-const PLAY_OUT: Duration = Duration::from_secs(12);
-const START: Duration = Duration::from_secs(10);
-/// A manager that is told to end has so long.
-const ENDS: Duration = Duration::from_secs(10);
-
 /// Plays a day and judges it.
 ///
 /// # Errors
--- a/daemon/src/rehearse/play.rs
+++ b/daemon/src/rehearse/play.rs
@@ -1,10 +1,10 @@
 //! A day, played: the stand-ins in here, the managers beside, and what the players had of them.
 
+use super::asked::{Rehearsal, ENDS, PLAY_OUT, START};
 use super::costs::{rest, spent};
 use super::error::{at, RehearseError};
 use super::stage::{gather, own_address, wait_end, wait_ready, Manager, Stage};
 use super::steps::trouble;
-use super::{Rehearsal, ENDS, PLAY_OUT, START};
 use crate::judged::judged;
 use crate::settings::day::Plan;
 use crate::settings::write::{write_manager, Post};
--- a/daemon/src/rehearse/steps.rs
+++ b/daemon/src/rehearse/steps.rs
@@ -1,8 +1,8 @@
 //! What is done to managers while a day is played.
 
+use super::asked::ENDS;
 use super::error::Unclean;
 use super::stage::{is_ready, Manager, Stage};
-use super::ENDS;
 use crate::settings::day::Plan;
 use ottersail_judge::Event;
 use ottersail_standins::{Fault, FaultKind, Recorder};
