daemon: a heading that is there twice is told as that, and not as unknown too

The second of two equal headings was told twice, once as repeated and once as not known, and the second line would have named the heading itself as what was meant.

Measured: cargo test -p ottersail-daemon: 67 passed; without the change the new test fails with two complaints.

--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -156,6 +156,10 @@
         let known = self.asked.borrow();
         for part in &self.parts {
             if !*part.used.borrow() {
+                // One that is there twice is told as that, and not as unknown too.
+                if known.contains(&part.name) {
+                    continue;
+                }
                 let near = near_heading(&part.name, &known);
                 all.push((part.line, Wrong::UnknownSection { name: part.name.clone(), near }));
                 continue;
--- a/daemon/src/settings/sheet/tests.rs
+++ b/daemon/src/settings/sheet/tests.rs
@@ -62,3 +62,12 @@
     assert_eq!(told.len(), 3, "{told:?}");
     assert!(told[0].contains("expected a number from 0 to 1, read \"5\""), "{told:?}");
 }
+
+#[test]
+fn a_heading_that_is_there_twice_is_told_once() {
+    let sheet = Sheet::read("f.ini", "[a]\nx = 1\n[a]\nx = 2\n");
+    assert_eq!(sheet.section("a").whole("x", 0..=9), 1);
+    let told = sheet.complaints();
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].starts_with("f.ini:3: [a] is there already, at line 1;"), "{told:?}");
+}
