--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -105,7 +105,8 @@
             for variant in &experiment.variants {
                 match variant.apply(text) {
                     Ok(text) => {
-                        let told = read_day(Path::new(day), &text).err().into_iter().flatten();
+                        let told =
+                            read_day(Path::new(day), &text).map_err(Vec::from).err().into_iter().flatten();
                         complaints.extend(told.map(|it| format!("{file}: variant {}: {it}", variant.name)));
                     }
                     Err(lacks) => complaints.push(format!("{file}: {day}: {lacks}")),
@@ -163,7 +164,7 @@
     pub(crate) fn play(&self, day: &str, text: &str, seed: u64) -> Result<Outcome, LabError> {
         let text = self.apply(text)?;
         let plan = read_day(Path::new(day), &text)
-            .map_err(|complaints| LabError::Unfit { path: day.into(), complaints })?;
+            .map_err(|complaints| LabError::Unfit { path: day.into(), complaints: complaints.into() })?;
         let pick = self.pick;
         let model = Model::with(&plan, seed, move |now, seed, terms, out| match pick {
             None => Box::new(Brain::born(now, seed, terms, out)),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -79,7 +79,8 @@
 fn play(day: &Path, seed: Option<u64>) -> Done {
     let text =
         std::fs::read_to_string(day).map_err(|source| LabError::Unread { path: day.into(), source })?;
-    let plan = read_day(day, &text).map_err(|complaints| LabError::Unfit { path: day.into(), complaints })?;
+    let plan = read_day(day, &text)
+        .map_err(|complaints| LabError::Unfit { path: day.into(), complaints: complaints.into() })?;
     let model = Model::new(&plan, seed.unwrap_or(plan.day.seed))
         .map_err(|source| LabError::Model { day: day.display().to_string(), source })?;
     let began = Instant::now();
