Tests keep their files in tempfile's folders, which go where a test fails too

Six tests made folders named by process id and removed them in their last line, so that a test that failed left its folder behind; the removal stood in each of them by hand.

--- a/daemon/tests/peer/mod.rs
+++ b/daemon/tests/peer/mod.rs
@@ -2,10 +2,10 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tempfile::TempDir;
 
 pub const PLAYLIST: &str =
     "#EXTM3U\n#EXT-X-VERSION:6\n#EXT-X-TARGETDURATION:2\n#EXT-X-MAP:URI=\"init.mp4\"\n\
@@ -112,17 +112,16 @@
     Command::new(env!("CARGO_BIN_EXE_ottersail"))
 }
 
-pub fn folder(name: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("ottersail-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
+/// It goes when it is dropped, also where a test fails.
+pub fn folder(name: &str) -> TempDir {
+    tempfile::Builder::new().prefix(&format!("ottersail-{name}-")).tempdir().unwrap()
 }
 
 /// A manager in front of one peer.
 pub struct Manager {
     pub child: Child,
     pub address: SocketAddr,
-    pub folder: PathBuf,
+    pub folder: TempDir,
 }
 
 impl Manager {
@@ -150,15 +149,15 @@
     ) -> Manager {
         let folder = folder(name);
         let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        std::fs::write(folder.join("keys"), "a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\n").unwrap();
-        std::fs::write(folder.join("m.ini"), text(address)).unwrap();
-        let log = std::fs::File::create(folder.join("log")).unwrap();
+        std::fs::write(folder.path().join("keys"), "a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\n").unwrap();
+        std::fs::write(folder.path().join("m.ini"), text(address)).unwrap();
+        let log = std::fs::File::create(folder.path().join("log")).unwrap();
         let mut command = Command::new("sh");
         let limit = files.map_or(String::new(), |it| format!("ulimit -n {it}; "));
         command.arg("-c").arg(format!("{limit}exec \"$0\" \"$@\"")).arg(env!("CARGO_BIN_EXE_ottersail"));
         command
             .arg("run")
-            .arg(folder.join("m.ini"))
+            .arg(folder.path().join("m.ini"))
             .args(flags)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -176,7 +175,7 @@
     }
 
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
     }
 
     pub fn signal(&self, name: &str) {
@@ -198,7 +197,6 @@
     fn drop(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
-        _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -68,7 +68,7 @@
 fn sighup_takes_good_settings_over_and_no_bad_ones() {
     let peer = Peer::new(slow);
     let manager = Manager::start("reload", peer.address, "most-waiting = 1", None).ready();
-    let file = manager.folder.join("m.ini");
+    let file = manager.folder.path().join("m.ini");
     let good = std::fs::read_to_string(&file).unwrap();
     std::fs::write(&file, good.replace("most-waiting = 1", "most-waiting = none")).unwrap();
     manager.signal("-HUP");
@@ -189,7 +189,7 @@
 #[test]
 fn settings_are_checked_before_anything_starts() {
     let folder = folder("check");
-    let file = folder.join("m.ini");
+    let file = folder.path().join("m.ini");
     std::fs::write(&file, "[manager]\nnumber = x\nlisten = 127.0.0.1:1\n[odd]\n").unwrap();
     for job in ["check", "run"] {
         let output = program().arg(job).arg(&file).output().unwrap();
@@ -201,7 +201,6 @@
             assert!(text.contains(expected), "{expected} in {text}");
         }
     }
-    std::fs::remove_dir_all(folder).unwrap();
 }
 
 #[test]
--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -1,7 +1,8 @@
 //! A short day, rehearsed, played back and judged; and with a guard taken out.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Output};
+use tempfile::tempdir;
 
 const DAY: &str = include_str!("day.ini");
 
@@ -9,12 +10,6 @@
     Command::new(env!("CARGO_BIN_EXE_ottersail"))
 }
 
-fn folder(name: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("ottersail-{name}-test-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
 fn text(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
 }
@@ -30,11 +25,11 @@
 #[cfg(not(feature = "sabotage"))]
 #[test]
 fn a_day_is_played_judged_and_played_back() {
-    let folder = folder("rehearsal");
-    let output = rehearse(&folder);
+    let folder = tempdir().unwrap();
+    let output = rehearse(folder.path());
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     assert!(text(&output).contains("all rules hold"));
-    let tape = folder.join("tape");
+    let tape = folder.path().join("tape");
     let output = program().arg("replay").arg(&tape).output().unwrap();
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     // A wish that is changed by one letter is found.
@@ -45,7 +40,7 @@
     assert_eq!(output.status.code(), Some(2), "{}", text(&output));
     assert!(text(&output).contains("wanted now"));
     // And the record of the sockets says the same when it is judged again, and otherwise once an answer is missing.
-    let traffic = folder.join("traffic");
+    let traffic = folder.path().join("traffic");
     let output = program().arg("judge").arg(&traffic).output().unwrap();
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     let lines = std::fs::read_to_string(&traffic).unwrap();
@@ -53,15 +48,13 @@
     std::fs::write(&traffic, lines.replacen(&format!("{answer}\n"), "", 1)).unwrap();
     let output = program().arg("judge").arg(&traffic).output().unwrap();
     assert_eq!(output.status.code(), Some(1), "{}", text(&output));
-    std::fs::remove_dir_all(folder).unwrap();
 }
 
 #[cfg(feature = "sabotage")]
 #[test]
 fn the_judge_catches_a_manager_that_does_not_hear_of_drains() {
-    let folder = folder("sabotage");
-    let output = rehearse(&folder);
+    let folder = tempdir().unwrap();
+    let output = rehearse(folder.path());
     assert_eq!(output.status.code(), Some(1), "{}", text(&output));
     assert!(text(&output).contains("ms after manager"), "{}", text(&output));
-    std::fs::remove_dir_all(folder).unwrap();
 }
--- a/judge/src/report.rs
+++ b/judge/src/report.rs
@@ -254,12 +254,13 @@
             "ten viewings of ten on a link of a hundred"
         );
         assert_eq!(series.fill[1].last().unwrap().unwrap(), 2.9);
-        let folder = std::env::temp_dir().join(format!("ottersail-report-test-{}", std::process::id()));
+        let place = tempfile::tempdir().unwrap();
+        // Not there yet: the report makes it.
+        let folder = place.path().join("report");
         write_report(&folder, &terms, &lines, &judge(&terms, &lines)).unwrap();
         let figures: serde_json::Value =
             serde_json::from_slice(&fs::read(folder.join("figures.json")).unwrap()).unwrap();
         assert_eq!(figures["spread"]["servers"], 2);
         assert_eq!(fs::read_to_string(folder.join("report.html")).unwrap().matches("<svg").count(), 3);
-        fs::remove_dir_all(folder).unwrap();
     }
 }
--- a/lab/tests/grid.rs
+++ b/lab/tests/grid.rs
@@ -3,16 +3,18 @@
 use ottersail_lab::compare::compare;
 use ottersail_lab::experiment::{results, run, variants, Experiment};
 use std::path::{Path, PathBuf};
+use tempfile::{tempdir, TempDir};
 
 fn small() -> Experiment {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../experiments/small.ini");
     Experiment::read(Path::new(path)).unwrap_or_else(|it| panic!("{}", it.join("\n")))
 }
 
-fn fresh(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("ottersail-lab-{name}-{}.jsonl", std::process::id()));
-    _ = std::fs::remove_file(&path);
-    path
+/// A file that is not there yet, in a folder that goes when it is dropped.
+fn fresh() -> (TempDir, PathBuf) {
+    let folder = tempdir().unwrap();
+    let path = folder.path().join("grid.jsonl");
+    (folder, path)
 }
 
 #[test]
@@ -28,7 +30,7 @@
 /// Interrupted in the middle of a line it goes on from there, and ends with what one go gives.
 #[test]
 fn a_grid_that_was_cut_off_is_taken_up_again() {
-    let (experiment, path) = (small(), fresh("cut"));
+    let (experiment, (_folder, path)) = (small(), fresh());
     let whole = run(&experiment, &path, 4).unwrap();
     assert_eq!(whole.len(), 12);
     let text = std::fs::read_to_string(&path).unwrap();
@@ -41,12 +43,11 @@
     assert_eq!(results(&path).len(), 12, "four were kept, eight played anew");
     run(&experiment, &path, 1).unwrap();
     assert_eq!(results(&path).len(), 12, "nothing is played twice");
-    _ = std::fs::remove_file(path);
 }
 
 #[test]
 fn variants_are_told_apart_from_noise() {
-    let (experiment, path) = (small(), fresh("apart"));
+    let (experiment, (_folder, path)) = (small(), fresh());
     let all = run(&experiment, &path, 4).unwrap();
     assert_eq!(variants(&all), ["as it is", "slow notes", "quiet", "random"]);
     assert!(all.iter().all(|it| it.broken.is_empty()));
@@ -58,14 +59,13 @@
     let stalled = of("as it is", "random", "stalled, s a viewing");
     assert!(stalled.mean > 0.1 && stalled.is_clear(), "{stalled:?}");
     assert_eq!(of("as it is", "as it is", "value of what was asked").mean, 0.0);
-    _ = std::fs::remove_file(path);
 }
 
 /// By seed, to the byte: the sum of all figures of the small experiment. A change to the module, the library or the
 /// model changes it, and is to be meant.
 #[test]
 fn the_small_experiment_gives_what_it_gave() {
-    let (experiment, path) = (small(), fresh("same"));
+    let (experiment, (_folder, path)) = (small(), fresh());
     let all = run(&experiment, &path, 4).unwrap();
     let one = |it: &ottersail_lab::experiment::Outcome| {
         let of = &it.figures;
@@ -82,5 +82,4 @@
     };
     let told: String = all.iter().map(one).collect();
     assert_eq!(told, include_str!("small.figures"), "now:\n{told}");
-    _ = std::fs::remove_file(path);
 }
