The module takes its part of what all share as slots, and the front ends it with its lease

Need: me and managers are to come from leased slots, whose parts sum to 1 at most. Change: Brain::part (slots, of how many) in the place of number and count; Front::part holds it to its lease: no set-up leaves after it, and the first thing that happens past it puts the kept slot in its place.

--- a/front/src/decisions.rs
+++ b/front/src/decisions.rs
@@ -27,6 +27,8 @@
         out: &mut dyn Answers,
     );
     fn dropped(&mut self, now: Ms, vw: &ViewingId, out: &mut dyn Answers);
+    /// Which slots of so many are this manager's. Decisions that share nothing need not care.
+    fn part(&mut self, _: &[u64], _: f64) {}
     /// How a probe ended. Decisions that never ask for one need not care.
     fn echo(&mut self, _: Ms, _: &ServerId, _: Outcome, _: Load, _: &mut dyn Answers) {}
 }
@@ -89,4 +91,8 @@
     fn echo(&mut self, now: Ms, server: &ServerId, outcome: Outcome, load: Load, out: &mut dyn Answers) {
         Brain::echo(self, now, server, outcome, load, out);
     }
+
+    fn part(&mut self, slots: &[u64], of: f64) {
+        Brain::part(self, slots, of);
+    }
 }
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -17,7 +17,7 @@
 pub use owed::PROBE_PATIENCE;
 
 use crate::decisions::Decisions;
-use crate::orders::Orders;
+use crate::orders::{Orders, Part};
 use desk::Desk;
 use hand::Hand;
 use ottersail::answers::Answers;
@@ -89,6 +89,14 @@
         info!(waiting = self.desk.asks.len(), watches = self.desk.watches.len(), "draining");
     }
 
+    /// This manager's part of what all managers share; with a lease that has run out already, what is kept.
+    pub fn part(&mut self, now: Ms, part: Part) {
+        let slots: Vec<u64> = [part.kept].into_iter().chain(part.leased.iter().copied()).collect();
+        self.brain.part(&slots, part.of);
+        self.desk.part = Some(part);
+        self.at(now);
+    }
+
     /// What of the settings may change while it runs.
     pub fn refit(&mut self, house: House) {
         self.desk.house = house;
@@ -127,6 +135,14 @@
 
     fn at(&mut self, now: Ms) -> &mut Desk {
         self.desk.now = now;
+        // Guards against a part that another holds by now: after a standstill, the first thing that happens may
+        // come before any timer.
+        if self.desk.part.as_ref().is_some_and(|it| now >= Ms(it.until)) {
+            if let Some(it) = self.desk.part.take() {
+                info!(kept = it.kept, of = it.of, "the lease on this manager's part has run out");
+                self.brain.part(&[it.kept], it.of);
+            }
+        }
         &mut self.desk
     }
 }
--- a/front/src/front/desk.rs
+++ b/front/src/front/desk.rs
@@ -2,7 +2,7 @@
 
 use super::house::House;
 use super::owed::{Alarm, Seat};
-use crate::orders::{AskId, WatchId};
+use crate::orders::{AskId, Part, WatchId};
 use crate::roster::Roster;
 use crate::timers::Timers;
 use crate::watch::Watch;
@@ -60,6 +60,8 @@
     /// Probes that are out, one for a server at most.
     pub(super) probes: BTreeSet<ServerId>,
     pub(super) counts: Counts,
+    /// The part that is held on a lease which still runs.
+    pub(super) part: Option<Part>,
 }
 
 impl Desk {
@@ -86,6 +88,7 @@
             draining: false,
             probes: BTreeSet::new(),
             counts: Counts::default(),
+            part: None,
         }
     }
 }
--- a/front/src/front/tune_ins.rs
+++ b/front/src/front/tune_ins.rs
@@ -126,6 +126,9 @@
         self.counts.tune_ins += 1;
         self.timers.set(Alarm::TuneIn(vw.clone()), self.now + time_out);
         info!(viewing = %vw, server = %server, rung = seat.rung.0, no, time_out = time_out.0, "tune-in");
+        // Guards against a set-up that rests on a lease and leaves after it, when another holds that part.
+        let by = self.now + time_out.min(self.house.send_within);
+        let send_by = self.part.iter().fold(by, |by, it| by.min(Ms(it.until)));
         out.set_up(&SetUp {
             vw: vw.clone(),
             no,
@@ -138,7 +141,7 @@
                 Stage::Waiting { asks, .. } => asks.first().copied(),
                 _ => None,
             },
-            send_by: self.now + time_out.min(self.house.send_within),
+            send_by,
         });
     }
 }
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -16,7 +16,7 @@
 mod watch;
 
 pub use front::{Counts, Front, House, PROBE_PATIENCE};
-pub use orders::{AskId, Asked, Orders, Reply, SetUp, SetUpEnd, WatchId};
+pub use orders::{AskId, Asked, Orders, Part, Reply, SetUp, SetUpEnd, WatchId};
 pub use ottersail::answers::Answers;
 pub use ottersail::brain::Brain;
 pub use ottersail::ids;
--- a/front/src/orders.rs
+++ b/front/src/orders.rs
@@ -19,6 +19,20 @@
     }
 }
 
+/// A manager's part of what all managers share (the pace at cold servers, tenants' shares), in slots of which
+/// each has one holder at a time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// The slot that is this manager's alone, lease or no lease: what it may do while nothing can be agreed.
+    pub kept: u64,
+    /// Slots that it holds until the lease ends.
+    pub leased: Vec<u64>,
+    /// All slots, kept ones included.
+    pub of: f64,
+    /// The lease's end in milliseconds, by the clock that the front goes by.
+    pub until: f64,
+}
+
 /// What a player asks for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Asked {
--- a/front/src/tape.rs
+++ b/front/src/tape.rs
@@ -1,7 +1,7 @@
 //! What a front was told and what it wanted, a line each, so that it can be told the same again.
 
 use crate::front::Front;
-use crate::orders::{AskId, Asked, Orders, Reply, SetUp, SetUpEnd, WatchId};
+use crate::orders::{AskId, Asked, Orders, Part, Reply, SetUp, SetUpEnd, WatchId};
 use ottersail::ids::{Rung, ServerId, ViewingId};
 use ottersail::time::Ms;
 use ottersail_wire::catalogue::{Listed, Title};
@@ -59,6 +59,9 @@
     Titled {
         titles: Vec<Title>,
     },
+    Part {
+        part: Part,
+    },
     TimeHasCome,
     Drain,
 }
@@ -84,6 +87,7 @@
             Told::ListFailed => front.list_failed(now, out),
             Told::Probed { server, report } => front.probed(now, &server.as_str().into(), *report, out),
             Told::Titled { titles } => front.titled(now, titles),
+            Told::Part { part } => front.part(now, part.clone()),
             Told::TimeHasCome => front.time_has_come(now, out),
             Told::Drain => front.drain(now),
         }
--- a/front/src/tests.rs
+++ b/front/src/tests.rs
@@ -1,5 +1,6 @@
 mod history;
 mod lists;
+mod parts;
 mod requests;
 mod stage;
 mod tune_ins;
--- a/front/src/tests/stage.rs
+++ b/front/src/tests/stage.rs
@@ -65,6 +65,18 @@
     }
 }
 
+pub(super) fn house() -> House {
+    House {
+        url: "http://m".into(),
+        keys: Keys::read("k AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA").unwrap(),
+        ticket_s: 60,
+        most_waiting: 8,
+        most_watches: 20,
+        send_within: Ms(250.0),
+        linger: Ms(1000.0),
+    }
+}
+
 pub(super) fn listed(id: &str, cell: u64, standing: Standing) -> Listed {
     Listed {
         id: id.into(),
@@ -100,18 +112,9 @@
     }
 
     pub(super) fn of(terms: Terms) -> Stage {
-        let house = House {
-            url: "http://m".into(),
-            keys: Keys::read("k AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA").unwrap(),
-            ticket_s: 60,
-            most_waiting: 8,
-            most_watches: 20,
-            send_within: Ms(250.0),
-            linger: Ms(1000.0),
-        };
         let mut said = Vec::new();
         let out = &mut Scribe { lines: &mut said, out: None };
-        let front = Front::new(Ms(START), 7, terms, house, out);
+        let front = Front::new(Ms(START), 7, terms, house(), out);
         Stage { front, now: START, said, asks: 0 }
     }
 
@@ -180,6 +183,7 @@
     pub(super) vw: ViewingId,
     pub(super) no: usize,
     pub(super) server: String,
+    pub(super) send_by: Ms,
 }
 
 pub(super) fn all_set_ups(said: &[String]) -> Vec<SetUpSaid> {
@@ -189,6 +193,7 @@
             vw: words[1].into(),
             no: words[2].parse().unwrap(),
             server: words[3].into(),
+            send_by: Ms(words[words.len() - 1].parse().unwrap()),
         })
     };
     said.iter().filter_map(of).collect()
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,8 @@
     terms: Terms,
     now: Ms,
     chance: Chance,
+    /// This manager's slots, of as many as `terms.managers`: its part of what all managers share.
+    slots: Vec<u64>,
     /// Until then any server may be cold: the list at start may be old.
     unsure_until: Ms,
     servers: BTreeMap<ServerId, Server>,
@@ -83,6 +85,7 @@
         Brain {
             now,
             chance: Chance(seed | 1),
+            slots: vec![terms.me.0],
             unsure_until: now + terms.cold.lasts.min(terms.cold.fall_window * LIST_LAG),
             whole_since: now + terms.reports_every,
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
@@ -110,6 +113,11 @@
         self.settle(out);
     }
 
+    /// From now on this manager's part is these slots, of so many that all managers hold together.
+    pub fn part(&mut self, slots: &[u64], of: f64) {
+        (self.slots, self.terms.managers) = (slots.to_vec(), of);
+    }
+
     pub fn preexisting(&mut self, now: Ms, wish: Wish, server: ServerId, out: Out) {
         self.now = now;
         // A manager that takes viewings over did not restart: what it was told of starts is whole.
--- a/src/brain/limits.rs
+++ b/src/brain/limits.rs
@@ -3,12 +3,17 @@
 use super::*;
 
 impl Brain {
-    /// True for an arrival past its tenant's share: this manager's equal part of it, with a root margin,
+    /// This manager's part of what all managers share.
+    pub(super) fn share(&self) -> f64 {
+        self.slots.len() as f64 / self.terms.managers.max(1.0)
+    }
+
+    /// True for an arrival past its tenant's share: this manager's part of it, with a root margin,
     /// since tenants lean. Only what is within is counted, so that a crowd still gets the share itself.
     pub(super) fn over_share(&mut self, tenant: TenantIx) -> bool {
         let fade = self.terms.cold.lasts.max(Ms(1e3));
         let allowed = self.terms.tenants[tenant.0].allowance_per_s * (fade / Ms(1e3));
-        let part = allowed / self.terms.managers.max(1.0);
+        let part = allowed * self.share();
         let over = self.arrivals[tenant.0].read(self.now, fade) >= part + SHARE_PHI * part.sqrt();
         if !over {
             self.arrivals[tenant.0].add(self.now, fade, 1.0);
--- a/src/brain/pace.rs
+++ b/src/brain/pace.rs
@@ -17,7 +17,7 @@
         let pace = places / cold.lasts.0 * cold.start_capacity * cold.fall_multiple / weight;
         let all = (pace * cold.fall_window.0).floor();
         let since = |start: Ms| server.sent.iter().filter(|at| **at > start).count() as f64;
-        let mine = (all / managers).floor();
+        let mine = (all * self.slots.len() as f64 / managers).floor();
         if mine >= 1.0 {
             return since(self.now - cold.fall_window) < mine;
         }
@@ -27,7 +27,7 @@
         let together = (all / 2.0).floor().max(1.0);
         let shift = name_sum(&server.entry.server.to_string());
         let whose = (turn + shift as f64).rem_euclid((managers / together).ceil());
-        let my_turn = whose == (self.terms.me.0 as f64 / together).floor();
+        let my_turn = self.slots.iter().any(|it| whose == (*it as f64 / together).floor());
         my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
     }
 
--- a/src/brain/tests/limits.rs
+++ b/src/brain/tests/limits.rs
@@ -71,10 +71,14 @@
 }
 
 // One viewing a second is allowed to two managers: 5 and a margin of 4.5 in ten seconds for this one.
-#[test_case(9, false; "within its share")]
-#[test_case(10, true; "a crowd is past it")]
-fn arrivals_past_a_tenants_share(earlier: usize, over: bool) {
+// With three slots of eight: 3.75 and 3.9.
+#[test_case(&[0], 2.0, 9, false; "within its share")]
+#[test_case(&[0], 2.0, 10, true; "a crowd is past it")]
+#[test_case(&[0, 4, 7], 8.0, 7, false; "within its slots")]
+#[test_case(&[0, 4, 7], 8.0, 8, true; "past its slots")]
+fn arrivals_past_a_tenants_share(slots: &[u64], of: f64, earlier: usize, over: bool) {
     let mut it = brain(terms(), 0);
+    it.part(slots, of);
     for _ in 0..earlier {
         it.over_share(TenantIx(0));
     }
--- a/src/brain/tests/pace.rs
+++ b/src/brain/tests/pace.rs
@@ -84,3 +84,32 @@
     let it = Brain::born(Ms(5000.0), 1, terms(), &mut Said::default());
     assert_eq!(it.unsure_until, Ms(7000.0));
 }
+
+// 48 places: 6 in a window, so with 16 slots or more they take turns, three slots together.
+#[test_case(48.0, &[&[0, 1, 2, 3], &[4], &[5], &[6, 7, 8]], 9.0, 6; "turns by slots, unevenly held")]
+#[test_case(800.0, &[&[0, 1, 2, 3], &[4], &[5], &[6, 7, 8]], 9.0, 106; "counts by slots, unevenly held")]
+#[test_case(48.0, &[&[0], &[], &[5]], 9.0, 6; "slots that nobody holds stay unused")]
+fn rule_4_parts_by_slots(places: f64, held: &[&[u64]], of: f64, all: usize) {
+    let mut sent: Vec<(f64, usize)> = Vec::new();
+    for (number, slots) in held.iter().enumerate() {
+        let mut it = brain(Terms { managers: 4.0, me: ManagerIx(number as u64), ..terms() }, 1);
+        it.part(slots, of);
+        it.terms.places.insert("k".into(), places);
+        server(&mut it, "s0").cold_until = Ms(1e9);
+        for tick in 0..2000 {
+            it.now = Ms(100_000.0 + tick as f64 * 10.0);
+            while it.pace_allows(&it.servers[&"s0".into()]) {
+                let now = it.now;
+                server(&mut it, "s0").sent.push(now);
+                sent.push((now.0, number));
+            }
+        }
+    }
+    let of_one = |number| sent.iter().filter(|it| it.1 == number).count();
+    for (number, slots) in held.iter().enumerate() {
+        assert_eq!(of_one(number) > 0, !slots.is_empty(), "{number}");
+    }
+    let window = |end: f64| sent.iter().filter(|it| end - 1000.0 < it.0 && it.0 <= end).count();
+    assert!(sent.iter().all(|it| window(it.0) <= all), "{:?}", sent.iter().map(|it| window(it.0)).max());
+    assert!(of_one(0) >= of_one(2), "who holds more slots may send more");
+}
