Tickets: keys derived for another purpose, so that datagrams can be signed by the same file

The members' datagrams are to be signed under the keys' file that is there already. A secret must not serve two purposes, and none should leave this package.

--- a/tickets/src/lib.rs
+++ b/tickets/src/lib.rs
@@ -75,6 +75,20 @@
         format!("t={}.{}.{}", claim.expires, name, URL_SAFE_NO_PAD.encode(mac))
     }
 
+    /// Keys of 32 bytes for another purpose, one from each secret and in their order: HMAC-SHA-256 of the
+    /// purpose under the secret. So what is signed for one purpose is never good for another, and no
+    /// secret leaves this package.
+    pub fn derived(&self, purpose: &str) -> Vec<[u8; 32]> {
+        let derive = |secret: &[u8]| {
+            // A ticket's MAC starts with a length below 2^56, so with a 0 byte; this one never does.
+            let mut mac = keyed(secret);
+            mac.update(b"for ");
+            mac.update(purpose.as_bytes());
+            mac.finalize().into_bytes().into()
+        };
+        self.0.iter().map(|it| derive(&it.1)).collect()
+    }
+
     /// Checks a ticket for what is asked; `claim.expires` is taken from the ticket.
     ///
     /// # Errors
@@ -102,10 +116,14 @@
     }
 }
 
+fn keyed(secret: &[u8]) -> Hmac<Sha256> {
+    // A key of any length is taken by HMAC, so this can't fail.
+    <Hmac<Sha256> as Mac>::new_from_slice(secret).expect("HMAC takes keys of any length")
+}
+
 /// Each part goes in with its length, so that no two claims give the same bytes.
 fn signed(secret: &[u8], claim: &Claim) -> Hmac<Sha256> {
-    // A key of any length is taken by HMAC, so this can't fail.
-    let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(secret).expect("HMAC takes keys of any length");
+    let mut mac = keyed(secret);
     for part in [claim.viewing, claim.what] {
         mac.update(&(part.len() as u64).to_be_bytes());
         mac.update(part.as_bytes());
--- a/tickets/src/tests.rs
+++ b/tickets/src/tests.rs
@@ -74,3 +74,14 @@
     let told = denial.to_string();
     assert!(told.contains(place) && told.split_once("; ").is_some_and(|it| it.1.contains(advice)), "{told}");
 }
+
+#[test]
+fn derived_keys_differ_by_secret_and_purpose_and_keep_their_order() {
+    let two = Keys::read("new MDEyMzQ1Njc4OWFiY2RlZg\nold ZmVkY2JhOTg3NjU0MzIxMA").unwrap();
+    let one = Keys::read("old ZmVkY2JhOTg3NjU0MzIxMA").unwrap();
+    let (datagrams, other) = (two.derived("datagrams"), two.derived("other"));
+    assert_eq!(datagrams.len(), 2);
+    assert_eq!(datagrams[1], one.derived("datagrams")[0]);
+    assert_ne!(datagrams[0], datagrams[1]);
+    assert_ne!(datagrams[0], other[0]);
+}
