Members: the types and the machine's methods, as a frame to build against

Need: the gate and the daemon are written against this interface at the same time. Change: package ottersail-members with ids, Message, Terms, Wishes, Change, Known, Hearing, Figures and a Members whose methods do nothing yet. Sender (id, life, address) is passed beside the message, because the gate's header already carries id and life and the body need not say them twice.

--- /dev/null
+++ b/members/src/message.rs
@@ -0,0 +1,131 @@
+//! What members say to one another. New variants and fields are only added at the end.
+
+use crate::ids::{Address, Incarnation, Life, MemberId, Topic};
+use serde::{Deserialize, Serialize};
+
+/// Where a message came from: the gate read id and life in the sealed header, the socket told the address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sender {
+    pub id: MemberId,
+    pub life: Life,
+    pub address: Address,
+}
+
+/// One datagram's worth: at most 1,136 bytes in postcard, so that 64 are left for the seal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender's own.
+    pub incarnation: Incarnation,
+    pub body: Body,
+    /// What is said of members along with it.
+    pub news: Vec<News>,
+    /// Small bytes of upper layers.
+    pub riders: Vec<Rider>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Are you there? `to` keeps another member at a reused address from answering.
+    Probe {
+        number: u32,
+        to: MemberId,
+        life: Life,
+    },
+    Ack {
+        number: u32,
+    },
+    /// Probe `target` for me.
+    ProbeFor {
+        number: u32,
+        target: MemberId,
+        life: Life,
+        at: Address,
+    },
+    /// A helper's probe; `asker` wants to know as well whether it is heard.
+    ProbeOn {
+        number: u32,
+        to: MemberId,
+        life: Life,
+        asker: MemberId,
+    },
+    AckOn {
+        number: u32,
+        hears_asker: bool,
+    },
+    /// The target answered the helper; `hears_you`: it has lately heard the asker's own datagrams.
+    AckFor {
+        number: u32,
+        hears_you: bool,
+    },
+    /// The helper lives but has not heard the target in time.
+    NackFor {
+        number: u32,
+    },
+    /// News alone.
+    Gossip,
+    /// I want to come in. Asked again each period until answered.
+    Join {
+        place: Place,
+    },
+    /// You are in; `known` is the incarnation under which your id was known before, if it was.
+    Welcome {
+        known: Option<Incarnation>,
+    },
+    /// Your name belongs to another life that answers, at that address.
+    Held {
+        by: Address,
+        life: Life,
+    },
+    /// A page of all that the sender knows, in `news`; `from` is where the page starts, `more` whether
+    /// others follow, `back` whether the receiver's pages are wanted in turn.
+    Page {
+        after: MemberId,
+        more: bool,
+        back: bool,
+    },
+    /// Send me the page after this one.
+    Next {
+        after: MemberId,
+    },
+    /// An upper layer's own message.
+    Tell {
+        topic: Topic,
+        bytes: Vec<u8>,
+    },
+}
+
+/// From the best to the last: at one incarnation, the later one counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum State {
+    Alive,
+    Suspect,
+    Dead,
+    Left,
+}
+
+/// Who says it is where.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    pub name: String,
+    pub address: Address,
+    pub site: String,
+}
+
+/// One thing said of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    pub about: MemberId,
+    pub life: Life,
+    pub incarnation: Incarnation,
+    pub state: State,
+    /// Who suspects or buried it, first hand.
+    pub by: Option<MemberId>,
+    pub place: Option<Place>,
+}
+
+/// A few bytes of an upper layer, on probes and acks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rider {
+    pub topic: Topic,
+    pub bytes: Vec<u8>,
+}
--- /dev/null
+++ b/members/src/terms.rs
@@ -0,0 +1,88 @@
+//! What a member is told when it is born.
+
+use crate::ids::{Address, Life, MemberId};
+use ottersail::time::Ms;
+use thiserror::Error;
+
+/// Who a member is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Me {
+    /// 1..=32 bytes of a-z, 0-9 and -.
+    pub name: String,
+    /// [`MemberId::of`] the cluster and the name.
+    pub id: MemberId,
+    pub life: Life,
+    pub address: Address,
+    /// Up to 32 bytes of a-z, 0-9 and -.
+    pub site: String,
+}
+
+/// Settings of the machine; spans in milliseconds of the member's own monotonic clock.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    pub me: Me,
+    /// Members to ask when coming in; the member's own address among them is passed over.
+    pub seeds: Vec<Address>,
+    /// One probe a period.
+    pub period: Ms,
+    /// Members asked to probe on one's behalf.
+    pub helpers: usize,
+    /// A suspicion confirmed by `confirmations` others runs for this many periods times log10 of the count.
+    pub suspicion: f64,
+    /// One that nobody confirms runs this many times longer.
+    pub unconfirmed: f64,
+    pub confirmations: usize,
+    /// News go out this many times log2 of the count and one.
+    pub retransmit: f64,
+    /// Between two full exchanges.
+    pub exchange_every: Ms,
+    /// The dead are kept, and called now and then, for this long.
+    pub forget_after: Ms,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum TermsError {
+    #[error(
+        "members.name `{0}` is not 1 to 32 bytes of a-z, 0-9 and -; give this member a shorter plain name"
+    )]
+    Name(String),
+    #[error("members.site `{0}` is not 0 to 32 bytes of a-z, 0-9 and -; give the site a shorter plain name")]
+    Site(String),
+    #[error("members.period of {0} ms is not from 50 to 60000 ms; 1000 ms is usual")]
+    Period(String),
+}
+
+impl Terms {
+    pub fn new(me: Me, seeds: Vec<Address>) -> Terms {
+        Terms {
+            me,
+            seeds,
+            period: Ms(1000.0),
+            helpers: 3,
+            suspicion: 1.0,
+            unconfirmed: 3.0,
+            confirmations: 3,
+            retransmit: 3.0,
+            exchange_every: Ms(30_000.0),
+            forget_after: Ms(86_400_000.0),
+        }
+    }
+
+    /// To be asked before a member is born with them.
+    pub fn check(&self) -> Result<(), TermsError> {
+        let plain = |text: &str| {
+            text.len() <= 32
+                && text.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+        };
+        if self.me.name.is_empty() || !plain(&self.me.name) {
+            return Err(TermsError::Name(self.me.name.clone()));
+        }
+        if !plain(&self.me.site) {
+            return Err(TermsError::Site(self.me.site.clone()));
+        }
+        if !(50.0..=60_000.0).contains(&self.period.0) {
+            return Err(TermsError::Period(self.period.0.to_string()));
+        }
+        Ok(())
+    }
+}
