--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -4,6 +4,7 @@
 //! is SWIM (Das, Gupta, Motivala 2002) with Lifeguard (Dadgar, Phillips, Currey 2017); see
 //! docs/membership.md.
 
+pub mod gate;
 mod ids;
 mod machine;
 mod message;
