--- a/members/src/gate/mod.rs
+++ b/members/src/gate/mod.rs
@@ -64,6 +64,7 @@
     me: MemberId,
     life: Life,
     version: u8,
+    cluster: String,
     tag: [u8; 4],
     /// The first signs, all are believed.
     keys: Vec<Sha>,
@@ -83,6 +84,7 @@
             me,
             life,
             version: VERSION,
+            cluster: cluster.into(),
             tag: frame::tag_of(cluster),
             cookies: Cookies::new(derived.first().map_or(&[], |it| it), seed, life),
             keys: derived.iter().map(|it| frame::mac_of(it)).collect(),
@@ -94,8 +96,8 @@
     }
 
     /// Other keys from now on, without a restart; lives stay believed.
-    pub fn rekey(&mut self, cluster: &str, keys: &Keys) {
-        self.keys = derived(keys, cluster).iter().map(|it| frame::mac_of(it)).collect();
+    pub fn rekey(&mut self, keys: &Keys) {
+        self.keys = derived(keys, &self.cluster).iter().map(|it| frame::mac_of(it)).collect();
     }
 
     /// The datagram for a message; `to` is none while the id at an address is not known yet.
--- a/members/src/gate/tests/challenge.rs
+++ b/members/src/gate/tests/challenge.rs
@@ -44,7 +44,9 @@
         let stolen = other.sealed(Kind::Echo, Some(B), &[cookie, &[5]]);
         assert_eq!(open(&mut b, NOW, &stolen), dropped(Why::Unchallenged));
     }
-    for mut restarted in [gate(B, 4), Gate::new(B, Life(2), "harbour", Keys::read(NEW).unwrap(), 99)] {
+    // The same seed in another life, then the same life with another seed.
+    for (life, seed) in [(4, b.life.0 ^ 7), (2, 99)] {
+        let mut restarted = Gate::new(B, Life(life), "harbour", Keys::read(NEW).unwrap(), seed);
         assert_eq!(open(&mut restarted, NOW, &honest), dropped(Why::Unchallenged));
     }
 }
@@ -182,3 +184,20 @@
     let bytes = others[500].seal(Some(B), &7u32).unwrap();
     challenge(&mut b, later, &bytes);
 }
+
+#[test]
+fn a_doubted_life_goes_before_one_that_was_not_heard_for_longer() {
+    let mut lives = Lives::default();
+    let newcomer = (MemberId(5_000), Life(1));
+    for id in 1..LIVES as u64 {
+        lives.believe(NOW, (MemberId(id), Life(1)), 0).unwrap();
+    }
+    lives.believe(NOW, (MemberId(7), Life(2)), 0).unwrap();
+    let later = NOW + Ms(20_000.0);
+    assert_eq!(lives.take(later, (MemberId(7), Life(1)), 1), Ok(false));
+    lives.believe(later, newcomer, 0).unwrap();
+    // Held, a counter is good once; given up, it is just unknown.
+    assert_eq!(lives.take(later, (MemberId(7), Life(1)), 1), Ok(false));
+    assert_eq!(lives.take(later, (MemberId(1), Life(1)), 0), Err(Why::Replayed));
+    assert_eq!(lives.count(), LIVES);
+}
--- a/members/src/gate/tests/chance.rs
+++ b/members/src/gate/tests/chance.rs
@@ -89,7 +89,7 @@
     let proof = echo(&mut a, &mut b, NOW, 5);
     assert_eq!(open(&mut b, NOW, &proof), said(A, 1, 5));
     // One of the two has the new file already, and back.
-    a.rekey("harbour", &Keys::read(&after).unwrap());
+    a.rekey(&Keys::read(&after).unwrap());
     let (there, back) = (a.seal(Some(B), &6u32).unwrap(), b.seal(Some(A), &7u32).unwrap());
     let wanted = |it| if heard { it } else { dropped(Why::Forged) };
     assert_eq!(open(&mut b, NOW, &there), wanted(said(A, 1, 6)));
