--- /dev/null
+++ b/members/src/apply.rs
@@ -0,0 +1,114 @@
+//! Which news are believed: the greater (incarnation, life, state) wins, with two guards for the living.
+
+use crate::ids::{Incarnation, Life};
+use crate::machine::Members;
+use crate::message::{News, State};
+use crate::peer::Peer;
+use crate::view::{Change, Why, Wishes};
+use ottersail::time::Ms;
+
+/// Within this many periods an own acknowledgement outweighs what others say of a death.
+const FRESH: f64 = 3.0;
+
+fn rank(incarnation: Incarnation, life: Life, state: State) -> (Incarnation, Life, State) {
+    (incarnation, life, state)
+}
+
+impl Members {
+    pub(crate) fn apply(&mut self, now: Ms, news: &News, in_page: bool, out: &mut dyn Wishes) {
+        if news.about == self.terms.me.id {
+            return self.told_of_me(now, news, out);
+        }
+        let Some(peer) = self.peers.get(&news.about) else { return self.newcomer(now, news, out) };
+        let known = &peer.known;
+        let held = rank(known.incarnation, known.life, known.state);
+        let told = rank(news.incarnation, news.life, news.state);
+        let same_life = known.life == news.life;
+        if told <= held {
+            if told == held && news.state == State::Suspect {
+                self.confirm(now, news, out);
+            }
+            return;
+        }
+        // Guards against one that does not hear a member burying it for those that do; and against halves
+        // that meet again burying one another's living.
+        let fresh = now - peer.acked < self.terms.period * FRESH;
+        let doubted = news.state == State::Dead && known.state <= State::Suspect && same_life;
+        match news.state {
+            State::Alive => self.believe_alive(now, news, out),
+            State::Suspect => {
+                self.take_incarnation(news);
+                self.suspect(now, news.about, news.by, out);
+            }
+            State::Dead if doubted && (in_page || fresh) => {
+                self.take_incarnation(news);
+                self.suspect(now, news.about, news.by, out);
+                if fresh {
+                    self.probe(now, news.about, out);
+                }
+            }
+            State::Dead | State::Left => {
+                self.take_incarnation(news);
+                self.spread(news.clone());
+                self.set_state(now, news.about, news.state, Why::Told, out);
+            }
+        }
+    }
+
+    fn take_incarnation(&mut self, news: &News) {
+        if let Some(peer) = self.peers.get_mut(&news.about) {
+            peer.known.incarnation = news.incarnation;
+            if peer.known.life != news.life {
+                peer.known.life = news.life;
+                peer.suspicion = None;
+                self.suspects.remove(&news.about);
+                if let Some(place) = &news.place {
+                    peer.known.address = place.address;
+                }
+            }
+        }
+    }
+
+    fn believe_alive(&mut self, now: Ms, news: &News, out: &mut dyn Wishes) {
+        let Some(place) = &news.place else { return };
+        let Some(peer) = self.peers.get_mut(&news.about) else { return };
+        let other_life = peer.known.life != news.life;
+        peer.known.incarnation = news.incarnation;
+        peer.known.life = news.life;
+        peer.known.address = place.address;
+        peer.known.site.clone_from(&place.site);
+        if other_life {
+            peer.known.riders.clear();
+            (peer.acked, peer.heard) = (Ms::LONG_AGO, Ms::LONG_AGO);
+        }
+        self.spread(news.clone());
+        let why = if other_life { Why::Joined } else { Why::Refuted };
+        self.set_state(now, news.about, State::Alive, why, out);
+    }
+
+    /// The dead are taken in as well: each that knows them can call them.
+    fn newcomer(&mut self, now: Ms, news: &News, out: &mut dyn Wishes) {
+        let Some(place) = &news.place else { return };
+        if self.peers.len() >= self.terms.most_members || place.name.len() > 32 || place.site.len() > 32 {
+            self.figures.strays += 1;
+            return;
+        }
+        let mut peer = Peer::new(now, news, place);
+        if peer.up() {
+            self.living.push(news.about);
+        }
+        if peer.known.state == State::Suspect {
+            peer.known.state = State::Alive;
+        }
+        self.peers.insert(news.about, peer);
+        let at = self.chance.below(self.round.len() + 1);
+        self.round.insert(at, news.about);
+        self.spread(news.clone());
+        let name = place.name.clone();
+        let is = self.peers[&news.about].known.state;
+        self.note(Change::State { id: news.about, name, was: None, is, why: Why::Joined }, out);
+        if news.state == State::Suspect {
+            self.suspect(now, news.about, news.by, out);
+        }
+    }
+}
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -4,9 +4,20 @@
 //! is SWIM (Das, Gupta, Motivala 2002) with Lifeguard (Dadgar, Phillips, Currey 2017); see
 //! docs/membership.md.
 
+mod apply;
+mod chance;
+mod entry;
+mod exchange;
+mod health;
+mod hearing;
+mod help;
 mod ids;
 mod machine;
 mod message;
+mod peer;
+mod probe;
+mod spread;
+mod suspect;
 mod terms;
 mod view;
 
--- a/members/src/machine.rs
+++ b/members/src/machine.rs
@@ -1,24 +1,81 @@
-//! The machine itself: one method an input.
+//! The machine itself: one method an input. What each input does is in the files by subject.
 
-use crate::ids::{Address, DialTag, MemberId, Topic};
-use crate::message::{Message, Sender};
+use crate::chance::Chance;
+use crate::entry::Phase;
+use crate::help::Help;
+use crate::ids::{Address, DialTag, Incarnation, MemberId, Topic};
+use crate::message::{Body, Message, Sender, State};
+use crate::peer::Peer;
+use crate::probe::Probe;
+use crate::spread::Rumour;
 use crate::terms::Terms;
-use crate::view::{Figures, Known, Wishes};
+use crate::view::{Change, Figures, Known, Wishes};
 use ottersail::time::Ms;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The longest message of an upper layer, in bytes.
+const LONGEST_TELL: usize = 900;
+/// The longest rider, in bytes, and how many are carried.
+const LONGEST_RIDER: usize = 64;
+const MOST_RIDERS: usize = 4;
 
 /// One member's view of all members.
 pub struct Members {
-    terms: Terms,
-    known: BTreeMap<MemberId, Known>,
-    figures: Figures,
+    pub(crate) terms: Terms,
+    pub(crate) chance: Chance,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) phase: Phase,
+    pub(crate) peers: BTreeMap<MemberId, Peer>,
+    /// Those alive or suspect, in no order.
+    pub(crate) living: Vec<MemberId>,
+    /// Those with a suspicion that runs.
+    pub(crate) suspects: BTreeSet<MemberId>,
+    pub(crate) round: Vec<MemberId>,
+    pub(crate) probes: BTreeMap<u32, Probe>,
+    pub(crate) helps: BTreeMap<u32, Help>,
+    pub(crate) last_number: u32,
+    pub(crate) rumours: BTreeMap<MemberId, Rumour>,
+    pub(crate) carried: BTreeMap<Topic, Vec<u8>>,
+    pub(crate) health: u32,
+    pub(crate) round_trip: Ms,
+    pub(crate) next_period: Ms,
+    pub(crate) next_gossip: Ms,
+    pub(crate) next_exchange: Ms,
+    pub(crate) next_recall: Ms,
+    pub(crate) figures: Figures,
     bell: Ms,
 }
 
 impl Members {
     /// A member that starts now; equal seeds and inputs give equal outputs.
-    pub fn born(now: Ms, _seed: u64, terms: Terms) -> Members {
-        Members { terms, known: BTreeMap::new(), figures: Figures::default(), bell: now }
+    pub fn born(now: Ms, seed: u64, terms: Terms) -> Members {
+        let mut chance = Chance::new(seed ^ terms.me.id.0);
+        let part = |chance: &mut Chance, span: Ms| now + span * (chance.below(1000) as f64 / 1000.0);
+        let exchange = part(&mut chance, terms.exchange_every);
+        let recall = part(&mut chance, terms.period * 2.0);
+        Members {
+            chance,
+            incarnation: Incarnation(0),
+            phase: Phase::Entering { asked: 0 },
+            peers: BTreeMap::new(),
+            living: Vec::new(),
+            suspects: BTreeSet::new(),
+            round: Vec::new(),
+            probes: BTreeMap::new(),
+            helps: BTreeMap::new(),
+            last_number: 0,
+            rumours: BTreeMap::new(),
+            carried: BTreeMap::new(),
+            health: 0,
+            round_trip: terms.period * 0.05,
+            next_period: now,
+            next_gossip: now,
+            next_exchange: exchange,
+            next_recall: recall,
+            figures: Figures::default(),
+            bell: now,
+            terms,
+        }
     }
 
     /// When [`Members::bell`] wants to be called next.
@@ -26,44 +83,146 @@
         self.bell
     }
 
-    pub fn bell(&mut self, now: Ms, _out: &mut dyn Wishes) {
-        self.bell = now + self.terms.period;
+    pub fn bell(&mut self, now: Ms, out: &mut dyn Wishes) {
+        self.notice_lateness(now, out);
+        if self.phase == Phase::Gone {
+            self.bell = Ms(f64::INFINITY);
+            return;
+        }
+        self.mind_probes(now, out);
+        self.mind_helps(now, out);
+        if now >= self.next_period {
+            self.next_period = now + self.stretched();
+            self.enter(now, out);
+            self.probe_next(now, out);
+        }
+        self.mind_suspicions(now, out);
+        self.mind_exchange(now, out);
+        self.mind_gossip(now, out);
+        self.set_bell(now);
     }
 
     /// A message that the gate has opened.
-    pub fn message(&mut self, _now: Ms, _from: Sender, _message: Message, _out: &mut dyn Wishes) {}
+    pub fn message(&mut self, now: Ms, from: Sender, message: Message, out: &mut dyn Wishes) {
+        self.notice_lateness(now, out);
+        self.figures.received += 1;
+        if self.phase == Phase::Gone {
+            return;
+        }
+        if from.id == self.terms.me.id {
+            self.namesake(now, from, &message, out);
+        } else if self.passive() {
+            if !matches!(message.body, Body::Welcome { .. } | Body::Held { .. }) {
+                self.figures.strays += 1;
+            } else {
+                self.body(now, from, &message, out);
+            }
+        } else {
+            self.heard(now, from, &message, out);
+            for news in &message.news {
+                self.apply(now, news, matches!(message.body, Body::Page { .. }), out);
+            }
+            self.body(now, from, &message, out);
+        }
+        self.set_bell(now);
+    }
+
+    fn body(&mut self, now: Ms, from: Sender, message: &Message, out: &mut dyn Wishes) {
+        match &message.body {
+            Body::Probe { number, to, life } => self.probed(now, from, *number, (*to, *life), None, out),
+            Body::ProbeOn { number, to, life, asker } => {
+                self.probed(now, from, *number, (*to, *life), Some(*asker), out)
+            }
+            Body::Ack { number } => self.acked(now, from, *number, out),
+            Body::ProbeFor { number, target, life, at } => {
+                self.asked_to_help(now, from, *number, (*target, *life, *at), out)
+            }
+            Body::AckOn { number, hears_asker } => self.helped(now, from, *number, *hears_asker, out),
+            Body::AckFor { number, hears_you } => self.vouched(now, *number, *hears_you, out),
+            Body::NackFor { number } => self.nacked(from.id, *number),
+            Body::Gossip => {}
+            Body::Join { place } => self.join_asked(now, from, message.incarnation, place, out),
+            Body::Welcome { known } => self.welcomed(now, from, *known, out),
+            Body::Held { by, life } => self.held(now, *by, *life, out),
+            Body::Digest { sums } => self.digest(from, sums, out),
+            Body::Page { mask, more, back } => self.page(from, (*mask, *more, *back), &message.news, out),
+            Body::Next { mask, after } => self.send_page(from.address, *mask, Some(*after), false, out),
+            Body::Tell { topic, bytes } => out.hear(from.id, *topic, bytes),
+        }
+    }
 
     /// The second way's answer.
-    pub fn dialled(&mut self, _now: Ms, _tag: DialTag, _up: bool, _out: &mut dyn Wishes) {}
-
-    /// One message of an upper layer, at once, at most 900 bytes; false if `to` is not known or it is too long.
-    pub fn tell(
-        &mut self,
-        _now: Ms,
-        _to: MemberId,
-        _topic: Topic,
-        _bytes: &[u8],
-        _out: &mut dyn Wishes,
-    ) -> bool {
-        false
+    pub fn dialled(&mut self, now: Ms, tag: DialTag, up: bool, out: &mut dyn Wishes) {
+        self.notice_lateness(now, out);
+        self.dial_answered(now, tag, up, out);
+        self.set_bell(now);
     }
 
-    /// A rider of at most 64 bytes on own probes and acks from now on; empty takes it off.
-    pub fn carry(&mut self, _topic: Topic, _bytes: &[u8]) {}
+    /// One message of an upper layer, at once; false if `to` is not known, `bytes` is longer than 900 bytes,
+    /// or this member is out.
+    pub fn tell(&mut self, _now: Ms, to: MemberId, topic: Topic, bytes: &[u8], out: &mut dyn Wishes) -> bool {
+        let Some(peer) = self.peers.get(&to) else { return false };
+        if bytes.len() > LONGEST_TELL || self.passive() || self.phase == Phase::Gone {
+            return false;
+        }
+        let address = peer.known.address;
+        self.say(address, Body::Tell { topic, bytes: bytes.to_vec() }, out);
+        true
+    }
 
-    /// Say goodbye; afterwards the machine is silent.
-    pub fn leave(&mut self, _now: Ms, _out: &mut dyn Wishes) {}
+    /// A rider of at most 64 bytes on own probes and acks from now on; empty takes it off. A fifth topic and
+    /// a longer rider are passed over.
+    pub fn carry(&mut self, topic: Topic, bytes: &[u8]) {
+        if bytes.is_empty() {
+            self.carried.remove(&topic);
+        } else if bytes.len() <= LONGEST_RIDER
+            && (self.carried.len() < MOST_RIDERS || self.carried.contains_key(&topic))
+        {
+            self.carried.insert(topic, bytes.to_vec());
+        }
+    }
 
     /// All others that are known, the dead included, this member not.
     pub fn roster(&self) -> impl Iterator<Item = (&MemberId, &Known)> {
-        self.known.iter()
+        self.peers.iter().map(|(id, peer)| (id, &peer.known))
     }
 
     pub fn figures(&self) -> Figures {
-        self.figures
+        let count = |state| self.peers.values().filter(|peer| peer.known.state == state).count() as u64;
+        Figures {
+            health: self.health,
+            alive: count(State::Alive),
+            suspect: count(State::Suspect),
+            ..self.figures
+        }
     }
 
     pub fn me(&self) -> Address {
         self.terms.me.address
     }
+
+    /// When the last bell was due: how late now is.
+    pub(crate) fn lateness(&self, now: Ms) -> Ms {
+        Ms((now - self.bell).0.max(0.0))
+    }
+
+    pub(crate) fn forgive_bell(&mut self, now: Ms) {
+        self.bell = now;
+    }
+
+    fn set_bell(&mut self, now: Ms) {
+        let probes = self.probes.values().map(|probe| probe.due);
+        let helps = self.helps.values().map(|help| help.due);
+        let suspicions =
+            self.suspects.iter().filter_map(|id| self.peers.get(id)?.suspicion.as_ref()).map(|it| it.ends);
+        let gossip = (!self.rumours.is_empty()).then_some(self.next_gossip);
+        let all = probes.chain(helps).chain(suspicions).chain(gossip);
+        let fixed = [self.next_period, self.next_exchange, self.next_recall];
+        let first = all.chain(fixed).min().unwrap_or(now);
+        self.bell = first.max(now);
+    }
+
+    pub(crate) fn note(&mut self, change: Change, out: &mut dyn Wishes) {
+        out.changed(&change);
+    }
 }
--- a/members/src/message.rs
+++ b/members/src/message.rs
@@ -76,15 +76,20 @@
         by: Address,
         life: Life,
     },
-    /// A page of all that the sender knows, in `news`; `from` is where the page starts, `more` whether
-    /// others follow, `back` whether the receiver's pages are wanted in turn.
+    /// Sums over all that the sender holds alive, 3 bytes for each of 64 buckets of ids.
+    Digest {
+        sums: Vec<u8>,
+    },
+    /// A page of what the sender knows of the buckets in `mask`, in `news`, by id; `more`: others follow on
+    /// [`Body::Next`]; `back`: the receiver's are wanted in turn. With an empty mask all sums agreed.
     Page {
-        after: MemberId,
+        mask: u64,
         more: bool,
         back: bool,
     },
-    /// Send me the page after this one.
+    /// Send me the page after this member.
     Next {
+        mask: u64,
         after: MemberId,
     },
     /// An upper layer's own message.
--- /dev/null
+++ b/members/src/probe.rs
@@ -0,0 +1,178 @@
+//! Probes: direct, then by helpers, then by the second way; only when all fail is a member suspected.
+
+use crate::ids::{DialTag, Life, MemberId};
+use crate::machine::Members;
+use crate::message::{Body, Sender, State};
+use crate::view::{Hearing, Wishes};
+use ottersail::time::Ms;
+
+/// Parts of a period, each stretched by the local health: helpers are asked no later than the first, the
+/// second way is tried at the second, the verdict falls at the third.
+const HELP_BY: f64 = 0.3;
+const DIAL_AT: f64 = 0.45;
+const VERDICT_AT: f64 = 0.85;
+/// Probes that run at once.
+const MOST_PROBES: usize = 8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    Direct,
+    Helpers,
+    SecondWay,
+}
+
+pub(crate) struct Probe {
+    pub target: MemberId,
+    pub life: Life,
+    pub sent: Ms,
+    pub due: Ms,
+    pub stage: Stage,
+    pub helpers: Vec<MemberId>,
+    pub nacks: Vec<MemberId>,
+    /// Others or the second way have answered, and whether they say that the target hears this member.
+    pub vouched: Option<bool>,
+}
+
+impl Members {
+    pub(crate) fn number(&mut self) -> u32 {
+        self.last_number = self.last_number.wrapping_add(1);
+        self.last_number
+    }
+
+    /// The next of the round; a round is shuffled anew when it is through.
+    pub(crate) fn probe_next(&mut self, now: Ms, out: &mut dyn Wishes) {
+        if self.passive() {
+            return;
+        }
+        while let Some(id) = self.round.pop() {
+            if self.peers.get(&id).is_some_and(|peer| peer.up()) {
+                return self.probe(now, id, out);
+            }
+        }
+        self.round.clone_from(&self.living);
+        self.chance.shuffle(&mut self.round);
+        if let Some(id) = self.round.pop() {
+            self.probe(now, id, out);
+        }
+    }
+
+    pub(crate) fn probe(&mut self, now: Ms, target: MemberId, out: &mut dyn Wishes) {
+        let running = self.probes.values().any(|probe| probe.target == target);
+        let Some(peer) = self.peers.get(&target) else { return };
+        if running || self.probes.len() >= MOST_PROBES {
+            return;
+        }
+        let (life, address) = (peer.known.life, peer.known.address);
+        let wait = self.round_trip.max(self.terms.period * 0.05).min(self.terms.period * HELP_BY);
+        let due = now + wait * self.patience();
+        let (helpers, nacks) = (Vec::new(), Vec::new());
+        let number = self.number();
+        let stage = Stage::Direct;
+        let probe = Probe { target, life, sent: now, due, stage, helpers, nacks, vouched: None };
+        self.probes.insert(number, probe);
+        self.figures.probes += 1;
+        self.say_to(target, address, Body::Probe { number, to: target, life }, out);
+    }
+
+    pub(crate) fn mind_probes(&mut self, now: Ms, out: &mut dyn Wishes) {
+        let due: Vec<u32> = self.probes.iter().filter(|(_, it)| it.due <= now).map(|(it, _)| *it).collect();
+        for number in due {
+            let Some(stage) = self.probes.get(&number).map(|probe| probe.stage) else { continue };
+            match stage {
+                Stage::Direct => self.ask_helpers(number, out),
+                Stage::Helpers => self.try_second_way(number, out),
+                Stage::SecondWay => self.verdict(now, number, out),
+            }
+        }
+    }
+
+    fn ask_helpers(&mut self, number: u32, out: &mut dyn Wishes) {
+        let Some((target, life)) = self.probes.get(&number).map(|it| (it.target, it.life)) else { return };
+        let Some(at) = self.peers.get(&target).map(|peer| peer.known.address) else { return };
+        let mut helpers = self.some_living(self.terms.helpers + 1);
+        helpers.retain(|id| *id != target && self.peers[id].known.state == State::Alive);
+        helpers.truncate(self.terms.helpers);
+        let until = self.terms.period * DIAL_AT * self.patience();
+        if let Some(probe) = self.probes.get_mut(&number) {
+            probe.stage = Stage::Helpers;
+            probe.due = probe.sent + until;
+            probe.helpers.clone_from(&helpers);
+        }
+        self.say_to(target, at, Body::Probe { number, to: target, life }, out);
+        for id in helpers {
+            self.say_to(id, self.peers[&id].known.address, Body::ProbeFor { number, target, life, at }, out);
+        }
+    }
+
+    fn try_second_way(&mut self, number: u32, out: &mut dyn Wishes) {
+        let until = self.terms.period * VERDICT_AT * self.patience();
+        let Some(probe) = self.probes.get_mut(&number) else { return };
+        probe.stage = Stage::SecondWay;
+        probe.due = probe.sent + until;
+        if probe.vouched.is_none() {
+            if let Some(address) = self.peers.get(&probe.target).map(|peer| peer.known.address) {
+                self.figures.dials += 1;
+                out.dial(address, DialTag(u64::from(number)));
+            }
+        }
+    }
+
+    fn verdict(&mut self, now: Ms, number: u32, out: &mut dyn Wishes) {
+        let Some(probe) = self.probes.remove(&number) else { return };
+        // Helpers that say nothing at all are a sign that this member itself hears badly.
+        let silent = probe.helpers.len().saturating_sub(probe.nacks.len());
+        if let Some(hears_me) = probe.vouched {
+            return self.answered_by_others(now, probe.target, hears_me, out);
+        }
+        self.worse(if probe.helpers.is_empty() { 1 } else { silent as u32 });
+        let hearing = if self.hears(now, probe.target, 3.0) { Hearing::OnlyIHear } else { Hearing::Nobody };
+        self.set_hearing(probe.target, hearing, out);
+        let Some(peer) = self.peers.get(&probe.target) else { return };
+        if peer.known.life == probe.life && peer.up() {
+            self.figures.suspicions += 1;
+            let me = self.terms.me.id;
+            self.suspect(now, probe.target, Some(me), out);
+        }
+    }
+
+    pub(crate) fn acked(&mut self, now: Ms, from: Sender, number: u32, out: &mut dyn Wishes) {
+        let known = self.probes.get(&number).is_some_and(|it| it.target == from.id && it.life == from.life);
+        let Some(probe) = self.probes.remove(&number).filter(|_| known) else {
+            self.figures.strays += 1;
+            return;
+        };
+        self.figures.acks += 1;
+        self.better();
+        if probe.stage == Stage::Direct {
+            // Waits for four times the smoothed round trip.
+            self.round_trip = self.round_trip * 0.875 + (now - probe.sent) * 0.5;
+        }
+        if let Some(peer) = self.peers.get_mut(&from.id) {
+            peer.acked = now;
+        }
+        self.set_hearing(from.id, Hearing::Both, out);
+    }
+
+    pub(crate) fn vouched(&mut self, _now: Ms, number: u32, hears_me: bool, _out: &mut dyn Wishes) {
+        match self.probes.get_mut(&number) {
+            Some(probe) => probe.vouched = Some(probe.vouched.unwrap_or(false) || hears_me),
+            None => self.figures.strays += 1,
+        }
+    }
+
+    pub(crate) fn nacked(&mut self, from: MemberId, number: u32) {
+        self.figures.nacks += 1;
+        if let Some(probe) = self.probes.get_mut(&number) {
+            if probe.helpers.contains(&from) && !probe.nacks.contains(&from) {
+                probe.nacks.push(from);
+            }
+        }
+    }
+
+    pub(crate) fn dial_answered(&mut self, _now: Ms, tag: DialTag, up: bool, _out: &mut dyn Wishes) {
+        let number = u32::try_from(tag.0).ok();
+        if let Some(probe) = number.and_then(|it| self.probes.get_mut(&it)).filter(|_| up) {
+            probe.vouched = Some(probe.vouched.unwrap_or(false));
+        }
+    }
+}
--- a/members/src/terms.rs
+++ b/members/src/terms.rs
@@ -38,6 +38,8 @@
     pub exchange_every: Ms,
     /// The dead are kept, and called now and then, for this long.
     pub forget_after: Ms,
+    /// Members held at once, the dead included.
+    pub most_members: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -59,12 +61,13 @@
             seeds,
             period: Ms(1000.0),
             helpers: 3,
-            suspicion: 1.0,
+            suspicion: 0.8,
             unconfirmed: 3.0,
             confirmations: 3,
             retransmit: 3.0,
             exchange_every: Ms(30_000.0),
             forget_after: Ms(86_400_000.0),
+            most_members: 10_000,
         }
     }
 
