--- a/members/examples/figures.rs
+++ b/members/examples/figures.rs
@@ -18,7 +18,7 @@
     for count in [3, 30, 200, 300, 2000] {
         let mut net = Net::of(count, SEED);
         let entered = net.until_right(300_000.0).unwrap_or(f64::NAN) / 1000.0;
-        net.run(15_000.0);
+        net.run(30_000.0);
         let totals = |net: &Net| {
             net.nodes.iter().fold((0, 0), |(sent, bytes), node| (sent + node.sent, bytes + node.bytes))
         };
--- a/members/src/apply.rs
+++ b/members/src/apply.rs
@@ -19,7 +19,7 @@
         if news.about == self.terms.me.id {
             return self.told_of_me(now, news, out);
         }
-        let Some(peer) = self.peers.get(&news.about) else { return self.newcomer(now, news, out) };
+        let Some(peer) = self.peers.get(&news.about) else { return self.newcomer(now, news, in_page, out) };
         let known = &peer.known;
         let held = rank(known.incarnation, known.life, known.state);
         let told = rank(news.incarnation, news.life, news.state);
@@ -27,6 +27,8 @@
         if told <= held {
             if told == held && news.state == State::Suspect {
                 self.confirm(now, news, out);
+            } else if told == held {
+                self.heard_again(news.about);
             }
             return;
         }
@@ -87,7 +89,7 @@
     }
 
     /// The dead are taken in as well: each that knows them can call them.
-    fn newcomer(&mut self, now: Ms, news: &News, out: &mut dyn Wishes) {
+    fn newcomer(&mut self, now: Ms, news: &News, in_page: bool, out: &mut dyn Wishes) {
         let Some(place) = &news.place else { return };
         if self.peers.len() >= self.terms.most_members || place.name.len() > 32 || place.site.len() > 32 {
             self.figures.strays += 1;
@@ -103,7 +105,10 @@
         self.peers.insert(news.about, peer);
         let at = self.chance.below(self.round.len() + 1);
         self.round.insert(at, news.about);
-        self.spread(news.clone());
+        // What stands in a page is known already: one that comes in would tell everybody of everybody.
+        if !in_page {
+            self.spread(news.clone());
+        }
         let name = place.name.clone();
         let is = self.peers[&news.about].known.state;
         self.note(Change::State { id: news.about, name, was: None, is, why: Why::Joined }, out);
--- a/members/src/entry.rs
+++ b/members/src/entry.rs
@@ -100,7 +100,7 @@
 
     pub(crate) fn welcomed(
         &mut self,
-        _now: Ms,
+        now: Ms,
         from: Sender,
         known: Option<Incarnation>,
         out: &mut dyn Wishes,
@@ -113,6 +113,8 @@
             return;
         }
         self.phase = Phase::In;
+        self.exchange_gap = self.terms.period;
+        self.next_exchange = now + self.exchange_gap;
         self.note(Change::Entered, out);
         let mine = self.news_of_me(State::Alive);
         self.spread(mine);
--- a/members/src/exchange.rs
+++ b/members/src/exchange.rs
@@ -40,7 +40,9 @@
 
     pub(crate) fn mind_exchange(&mut self, now: Ms, out: &mut dyn Wishes) {
         if now >= self.next_exchange {
-            self.next_exchange = now + self.terms.exchange_every;
+            // Those that came in at the same time know little of each other: at first often, then seldom.
+            self.next_exchange = now + self.exchange_gap;
+            self.exchange_gap = (self.exchange_gap * 2.0).min(self.terms.exchange_every);
             self.forget(now);
             if let Some(id) = self.some_living(1).pop().filter(|_| !self.passive()) {
                 self.begin_exchange(self.peers[&id].known.address, out);
--- a/members/src/spread.rs
+++ b/members/src/spread.rs
@@ -29,6 +29,17 @@
         self.rumours.insert(news.about, Rumour { news, sent: 0 });
     }
 
+    /// Others spread it as well: each time it comes back counts as a sending.
+    pub(crate) fn heard_again(&mut self, about: MemberId) {
+        let most = self.most_sendings();
+        if let Some(rumour) = self.rumours.get_mut(&about) {
+            rumour.sent += 1;
+            if rumour.sent >= most {
+                self.rumours.remove(&about);
+            }
+        }
+    }
+
     fn most_sendings(&self) -> u32 {
         (self.terms.retransmit * ((self.count() + 1) as f64).log2()).ceil() as u32
     }
--- a/members/tests/sim/mod.rs
+++ b/members/tests/sim/mod.rs
@@ -25,6 +25,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
     /// Whether connections pass where datagrams are cut.
     pub second_way: bool,
+    /// Whether there is a second way at all.
+    pub dials: bool,
     queue: BTreeMap<(Ms, u64), (usize, u32, Event)>,
     order: u64,
     state: u64,
@@ -40,6 +42,7 @@
             delay: (0.2, 2.0),
             cuts: BTreeSet::new(),
             second_way: false,
+            dials: true,
             queue: BTreeMap::new(),
             order: 0,
             state: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
@@ -150,7 +153,13 @@
     fn connects(&mut self, at: usize, to: usize) -> bool {
         let cut = self.cuts.contains(&(at, to)) || self.cuts.contains(&(to, at));
         let there = self.nodes.get(to).is_some_and(|node| node.members.is_some());
-        there && self.nodes[to].free_at(self.now) <= self.now && (!cut || self.second_way)
+        // One packet each way: a second try of the system's comes after the verdict.
+        let lost = self.below(100) < self.loss || self.below(100) < self.loss;
+        self.dials
+            && !lost
+            && there
+            && self.nodes[to].free_at(self.now) <= self.now
+            && (!cut || self.second_way)
     }
 
     pub fn state(&self, of: usize, about: usize) -> Option<State> {
