--- /dev/null
+++ b/council/src/types.rs
@@ -0,0 +1,148 @@
+//! What is agreed on, and what is kept of it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use ottersail_members::{Life, MemberId};
+
+/// Bytes of a value's body at most, so that a promise with every councillor's memory fits in 900 bytes.
+pub const BODY_MOST: usize = 600;
+
+/// Which register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Key {
+    /// What is fixed at the founding.
+    Head,
+    /// One bucket of slots.
+    Slots(u8),
+    /// An operator's or a later layer's order.
+    Order(u16),
+}
+
+/// One member's one request; the same at each retry, whichever councillor is asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId {
+    pub member: MemberId,
+    pub life: Life,
+    pub number: u64,
+}
+
+/// What a register holds. One value per key and revision.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Value {
+    /// 1 for the first, one more at each change.
+    pub revision: u64,
+    /// The request that made it, so that a retry finds its own work done and does not do it twice.
+    pub by: RequestId,
+    pub body: Vec<u8>,
+}
+
+/// The order of rounds: the greater number wins, the proposer and its life part equals.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    pub number: u64,
+    pub proposer: MemberId,
+    pub life: Life,
+}
+
+/// Which store a councillor stands on. The upper 16 bits count the losses the others knew of, the lower 48 are drawn
+/// when the store is created; of two memories of one councillor the lesser is lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Memory(pub u64);
+
+impl Memory {
+    pub fn drawn(chance: u64) -> Memory {
+        Memory(chance & 0xffff_ffff_ffff)
+    }
+
+    /// The same draw, above that other.
+    pub fn above(self, other: Memory) -> Memory {
+        Memory((((other.0 >> 48) + 1) << 48) | (self.0 & 0xffff_ffff_ffff))
+    }
+}
+
+/// Each councillor's memory, as far as known.
+pub type Memories = BTreeMap<MemberId, Memory>;
+
+/// What an acceptor holds of one key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Register {
+    /// No ballot below this is promised or accepted any more.
+    pub promised: Ballot,
+    pub accepted: Option<(Ballot, Value)>,
+}
+
+/// One thing to keep on disk; those of one wish are kept all or none.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Record {
+    Register(Key, Register),
+    /// That councillor now stands on that memory.
+    Known(MemberId, Memory),
+    /// The memory this store stands on, raised when the others knew a later one.
+    Mine(Memory),
+    /// The memories of all at the founding, as this councillor saw them; written once per memory.
+    Roll(Memories),
+    /// From here on this councillor takes part.
+    Sound,
+}
+
+/// All that a store holds, read at the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stored {
+    pub memory: Memory,
+    /// Whether the founding or a recovery has been gone through.
+    pub sound: bool,
+    pub roll: Option<Memories>,
+    pub known: Memories,
+    pub registers: BTreeMap<Key, Register>,
+}
+
+impl Stored {
+    /// A store just created.
+    pub fn new(memory: Memory) -> Stored {
+        Stored { memory, ..Stored::default() }
+    }
+
+    pub fn take(&mut self, record: &Record) {
+        match record {
+            Record::Register(key, register) => {
+                self.registers.insert(*key, register.clone());
+            }
+            Record::Known(member, memory) => {
+                self.known.insert(*member, *memory);
+            }
+            Record::Mine(memory) => {
+                self.memory = *memory;
+                self.roll = None;
+            }
+            Record::Roll(roll) => self.roll = Some(roll.clone()),
+            Record::Sound => self.sound = true,
+        }
+    }
+}
+
+/// What is asked of a register.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Change {
+    Read,
+    /// If the revision is this (0: nothing there yet), then this body.
+    Set {
+        if_revision: u64,
+        body: Vec<u8>,
+    },
+}
+
+/// What came of a request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The change is chosen: it can't be lost while a majority keeps its memory.
+    Done(Value),
+    /// The answer to a read, or to a change whose revision was another: what is chosen now. A retried change
+    /// that was chosen and then followed by another is answered so too.
+    Now(Option<Value>),
+    /// No answer in time: chosen or not, nobody knows yet. Asking again under the same number is safe.
+    Unanswered,
+    /// Never tried: the body is too long or too many wait for that key.
+    Turned,
+}
--- /dev/null
+++ b/council/src/wishes.rs
@@ -0,0 +1,119 @@
+//! What the machines want done, what they ask of others, and their terms.
+
+use ottersail::time::Ms;
+
+use crate::message::Message;
+use crate::types::{Key, Outcome, Record, Value};
+use ottersail_members::{Life, MemberId};
+
+/// Names one wish to keep.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+pub trait Wishes {
+    /// Never to oneself. May be lost, doubled or overtaken.
+    fn send(&mut self, to: MemberId, message: &Message);
+    /// Keep all of these or none, synced, in the order of the tokens; then `kept(token)`. If it fails: never
+    /// `kept`, and the process starts anew from what the disk holds.
+    fn keep(&mut self, token: Token, records: &[Record]);
+    /// That value is chosen, and newer than any told of that key before.
+    fn chosen(&mut self, key: Key, value: &Value);
+    /// What came of an own request, once for each number.
+    fn answered(&mut self, number: u64, outcome: &Outcome);
+}
+
+/// What an acceptor asks before it accepts. Leases stand in the way of slots given to another too early.
+pub trait Guard {
+    fn allows(&self, now: Ms, key: Key, from: Option<&Value>, to: &Value) -> bool;
+}
+
+/// No guard at all.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Open;
+
+impl Guard for Open {
+    fn allows(&self, _: Ms, _: Key, _: Option<&Value>, _: &Value) -> bool {
+        true
+    }
+}
+
+/// Who I am and how long to wait, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Terms {
+    pub me: MemberId,
+    pub life: Life,
+    /// 3, 5 or 7 for councils that are to live through 1, 2 or 3 losses.
+    pub councillors: Vec<MemberId>,
+    pub seed: u64,
+    /// How long a phase of a round waits for a majority.
+    pub phase: Ms,
+    /// The first back-off at most; doubled at each further try.
+    pub back_off: Ms,
+    /// How long one councillor is waited for before the next is asked.
+    pub ask: Ms,
+    /// How long a request lives.
+    pub give_up: Ms,
+    /// How often one that lacks something asks again.
+    pub again: Ms,
+}
+
+impl Terms {
+    /// Terms for a local network: round trips of some milliseconds, syncs of some ten.
+    pub fn new(me: MemberId, life: Life, councillors: &[MemberId], seed: u64) -> Terms {
+        let mut councillors = councillors.to_vec();
+        councillors.sort();
+        councillors.dedup();
+        let [phase, back_off, ask, give_up, again] = [300.0, 40.0, 700.0, 6000.0, 500.0].map(Ms);
+        Terms { me, life, councillors, seed, phase, back_off, ask, give_up, again }
+    }
+
+    pub fn majority(&self) -> usize {
+        self.councillors.len() / 2 + 1
+    }
+
+    pub fn others(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.councillors.iter().copied().filter(|member| *member != self.me)
+    }
+}
+
+/// Each may be taken out to see that something breaks without it.
+#[cfg(any(test, feature = "sabotage"))]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Guards {
+    /// Replies wait for the disk.
+    pub kept_first: bool,
+    /// An acceptor holds to its promise.
+    pub promise: bool,
+    /// A round takes up the highest accepted value that it found.
+    pub highest: bool,
+    /// A councillor without memory abstains until it has recovered.
+    pub abstain: bool,
+    /// Answers from a memory that another answer knows to be lost don't count.
+    pub memories: bool,
+    /// A recovery needs a majority among the others.
+    pub recovery_majority: bool,
+    /// The founding needs all councillors, with one roll.
+    pub founding_all: bool,
+    /// A value found but perhaps not chosen is written before it is told.
+    pub write_back: bool,
+    /// A retry finds its own work.
+    pub once: bool,
+    /// A follower never takes an older value over a newer.
+    pub newer: bool,
+}
+
+#[cfg(any(test, feature = "sabotage"))]
+impl Guards {
+    pub const ALL: Guards = Guards {
+        kept_first: true,
+        promise: true,
+        highest: true,
+        abstain: true,
+        memories: true,
+        recovery_majority: true,
+        founding_all: true,
+        write_back: true,
+        once: true,
+        newer: true,
+    };
+}
--- /dev/null
+++ b/register/src/lib.rs
@@ -0,0 +1,1 @@
+//! What a councillor has promised and accepted, kept on disk.
