Council: rounds, recovery of a lost memory, founding, following; random histories

The frame did nothing yet. Now the proposer runs rounds (one a key, back-off by seeded chance, time-outs, retries find their own work), a councillor without memory recovers from a majority of the others, a council is founded only when all councillors are new and have kept one roll, requests go to the lowest living councillor first, followers fetch by a 16-byte rider. Answers count together only if none of them knows another's memory to be lost.

--- a/council/src/acceptor.rs
+++ b/council/src/acceptor.rs
@@ -7,7 +7,7 @@
 use ottersail_members::MemberId;
 
 use crate::message::{Message, Voice};
-use crate::types::{Ballot, Key, Memories, Memory, Record, Register, Stored, Value};
+use crate::types::{Ballot, Key, Memory, Record, Register, Stored, Value};
 #[cfg(any(test, feature = "sabotage"))]
 use crate::wishes::Guards;
 use crate::wishes::{Guard, Token, Wishes};
@@ -177,12 +177,12 @@
         true
     }
 
-    pub fn me(&self) -> MemberId {
-        self.me
+    /// Whether all that was wished kept is kept.
+    pub fn idle(&self) -> bool {
+        self.waiting.is_empty()
     }
 
-    /// The memories at the founding, if this store saw it or learned of it.
-    pub fn roll(&self) -> Option<&Memories> {
-        self.stored.roll.as_ref()
+    pub fn me(&self) -> MemberId {
+        self.me
     }
 }
--- /dev/null
+++ b/council/src/chance.rs
@@ -0,0 +1,26 @@
+//! Chance that repeats from its seed.
+
+/// A multiply-with-carry generator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        let mut chance = Chance(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        // Seeds that differ in a few bits give near equal first draws.
+        (0..8).for_each(|_| {
+            chance.below(2);
+        });
+        chance
+    }
+
+    pub fn below(&mut self, limit: usize) -> usize {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        (((self.0 & 0xffff_ffff) * limit as u64) >> 32) as usize
+    }
+
+    /// From just above 0 to 1.
+    pub fn part(&mut self) -> f64 {
+        (self.below(1 << 24) + 1) as f64 / f64::from(1 << 24)
+    }
+}
--- a/council/src/lib.rs
+++ b/council/src/lib.rs
@@ -3,10 +3,17 @@
 //! what the disk has kept are arguments; what is to be sent and kept goes out through [`Wishes`].
 
 pub mod acceptor;
+pub mod asker;
+mod chance;
 pub mod councillor;
 pub mod follower;
 pub mod message;
 pub mod proposer;
+pub mod quorum;
+pub mod recovery;
+mod round;
+#[cfg(test)]
+mod tests;
 pub mod types;
 pub mod wishes;
 
--- a/council/src/message.rs
+++ b/council/src/message.rs
@@ -85,7 +85,6 @@
     /// These are newer; go on after that key if there are more.
     Found {
         values: Vec<(Key, Value)>,
-        upto: Option<Key>,
         more: Option<Key>,
     },
 }
--- a/council/src/proposer.rs
+++ b/council/src/proposer.rs
@@ -1,14 +1,227 @@
-//! Runs rounds.
+//! Runs rounds: prepare, accept, tell. One round per key at a time; those that lose back off by chance.
 
-use crate::types::Key;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+use ottersail::time::Ms;
+use ottersail_members::MemberId;
+
+use crate::chance::Chance;
+use crate::message::{Message, Voice};
+pub use crate::round::Job;
+use crate::round::{self, Next, Phase, Promised, Round, Rules};
+use crate::types::{Ballot, Change, Key, Outcome, Value, BODY_MOST};
+#[cfg(any(test, feature = "sabotage"))]
+use crate::wishes::Guards;
+use crate::wishes::{Terms, Wishes};
+
+/// Requests that wait for one key at most.
+const QUEUE_MOST: usize = 16;
+/// Doublings of the back-off at most.
+const DOUBLINGS: u32 = 5;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Proposer {
-    rounds: std::collections::BTreeMap<Key, u64>,
+    terms: Terms,
+    chance: Chance,
+    /// The greatest ballot number seen anywhere.
+    highest: u64,
+    rounds: BTreeMap<Key, Round>,
+    queues: BTreeMap<Key, VecDeque<Job>>,
+    #[cfg(any(test, feature = "sabotage"))]
+    pub(crate) guards: Guards,
 }
 
 impl Proposer {
+    pub fn new(terms: Terms) -> Proposer {
+        Proposer {
+            chance: Chance::new(terms.seed),
+            terms,
+            highest: 0,
+            rounds: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            #[cfg(any(test, feature = "sabotage"))]
+            guards: Guards::ALL,
+        }
+    }
+
     pub fn busy(&self) -> bool {
         !self.rounds.is_empty()
     }
+
+    pub fn bell_at(&self) -> Ms {
+        self.rounds.values().map(|round| round.bell).min().unwrap_or(Ms(f64::INFINITY))
+    }
+
+    pub fn propose(&mut self, now: Ms, key: Key, job: Job, out: &mut dyn Wishes) {
+        if matches!(&job.change, Change::Set { body, .. } if body.len() > BODY_MOST) {
+            return tell(&job, Outcome::Turned, out);
+        }
+        if let Some(round) = self.rounds.get_mut(&key) {
+            if round.job.request == job.request {
+                round.job.until = job.until;
+                return;
+            }
+            let queue = self.queues.entry(key).or_default();
+            if queue.iter().any(|waiting| waiting.request == job.request) {
+                return;
+            }
+            if queue.len() >= QUEUE_MOST {
+                return tell(&job, Outcome::Turned, out);
+            }
+            return queue.push_back(job);
+        }
+        self.start(now, key, job, 0, out);
+    }
+
+    fn start(&mut self, now: Ms, key: Key, job: Job, tries: u32, out: &mut dyn Wishes) {
+        self.highest += 1;
+        let ballot = Ballot { number: self.highest, proposer: self.terms.me, life: self.terms.life };
+        let (refused, phase) = (BTreeSet::new(), Phase::Preparing(BTreeMap::new()));
+        let bell = now + self.terms.phase;
+        self.rounds.insert(key, Round { job, ballot, tries, refused, bell, phase });
+        self.all(&Message::Prepare { key, ballot }, out);
+    }
+
+    fn all(&self, message: &Message, out: &mut dyn Wishes) {
+        for member in &self.terms.councillors {
+            out.send(*member, message);
+        }
+    }
+
+    pub fn bell(&mut self, now: Ms, out: &mut dyn Wishes) {
+        let due: Vec<Key> = self.rounds.iter().filter(|(_, r)| r.bell <= now).map(|(key, _)| *key).collect();
+        for key in due {
+            let Some(round) = self.rounds.remove(&key) else { continue };
+            if round.job.until <= now {
+                tell(&round.job, Outcome::Unanswered, out);
+                self.following(now, key, out);
+            } else if round.phase == Phase::Waiting {
+                self.start(now, key, round.job, round.tries, out);
+            } else {
+                self.rounds.insert(key, round);
+                self.back_off(now, key);
+            }
+        }
+    }
+
+    /// By chance, so that two that duel part. Symptom without that: both refuse each other for ever.
+    fn back_off(&mut self, now: Ms, key: Key) {
+        let part = self.chance.part();
+        let Some(round) = self.rounds.get_mut(&key) else { return };
+        let most = self.terms.back_off * f64::from(1 << round.tries.min(DOUBLINGS));
+        round.tries += 1;
+        round.phase = Phase::Waiting;
+        round.bell = now + most * part;
+    }
+
+    /// The next that waits for that key, if any still does.
+    fn following(&mut self, now: Ms, key: Key, out: &mut dyn Wishes) {
+        while let Some(job) = self.queues.get_mut(&key).and_then(VecDeque::pop_front) {
+            if job.until > now {
+                return self.start(now, key, job, 0, out);
+            }
+            tell(&job, Outcome::Unanswered, out);
+        }
+        self.queues.remove(&key);
+    }
+
+    pub fn message(&mut self, now: Ms, from: MemberId, message: &Message, out: &mut dyn Wishes) {
+        match message {
+            Message::Promise { key, ballot, accepted, voice } => {
+                self.promise(now, (from, *key, *ballot), accepted, voice, out);
+            }
+            Message::Accepted { key, ballot, voice } => self.accepted(now, (from, *key, *ballot), voice, out),
+            Message::Refused { key, ballot, promised } => self.refused(now, (from, *key, *ballot), *promised),
+            _ => {}
+        }
+    }
+
+    fn round(&mut self, key: Key, ballot: Ballot) -> Option<&mut Round> {
+        self.rounds.get_mut(&key).filter(|round| round.ballot == ballot)
+    }
+
+    fn promise(
+        &mut self,
+        now: Ms,
+        (from, key, ballot): (MemberId, Key, Ballot),
+        accepted: &Option<(Ballot, Value)>,
+        voice: &Voice,
+        out: &mut dyn Wishes,
+    ) {
+        let (rules, majority, wait) = (self.rules(), self.terms.majority(), self.terms.phase);
+        let Some(round) = self.round(key, ballot) else { return };
+        let Phase::Preparing(promises) = &mut round.phase else { return };
+        let held = promises
+            .entry(from)
+            .or_insert_with(|| Promised { voice: voice.clone(), accepted: accepted.clone() });
+        crate::quorum::hear(&mut held.voice, voice);
+        held.accepted = held.accepted.take().max(accepted.clone());
+        if rules.count(promises.iter().map(|(member, promised)| (*member, &promised.voice))) < majority {
+            return;
+        }
+        match round::next(&round.job, promises, majority, rules) {
+            Next::Tell(outcome) => self.end(now, key, outcome, out),
+            Next::Write { value, done } => {
+                round.phase = Phase::Accepting { value: value.clone(), voices: BTreeMap::new(), done };
+                round.bell = now + wait;
+                round.refused.clear();
+                self.all(&Message::Accept { key, ballot, value }, out);
+            }
+        }
+    }
+
+    fn accepted(
+        &mut self,
+        now: Ms,
+        (from, key, ballot): (MemberId, Key, Ballot),
+        voice: &Voice,
+        out: &mut dyn Wishes,
+    ) {
+        let (rules, majority) = (self.rules(), self.terms.majority());
+        let Some(round) = self.round(key, ballot) else { return };
+        let Phase::Accepting { value, voices, done } = &mut round.phase else { return };
+        crate::quorum::hear(voices.entry(from).or_insert_with(|| voice.clone()), voice);
+        if rules.count(voices.iter().map(|(member, voice)| (*member, voice))) < majority {
+            return;
+        }
+        let (value, done) = (value.clone(), *done);
+        let outcome = if done { Outcome::Done(value) } else { Outcome::Now(Some(value)) };
+        self.end(now, key, outcome, out);
+    }
+
+    /// One refusal stops nothing while a majority can still agree.
+    fn refused(&mut self, now: Ms, (from, key, ballot): (MemberId, Key, Ballot), promised: Ballot) {
+        self.highest = self.highest.max(promised.number);
+        let spare = self.terms.councillors.len() - self.terms.majority();
+        let Some(round) = self.round(key, ballot) else { return };
+        round.refused.insert(from);
+        if round.refused.len() > spare && round.phase != Phase::Waiting {
+            self.back_off(now, key);
+        }
+    }
+
+    fn end(&mut self, now: Ms, key: Key, outcome: Outcome, out: &mut dyn Wishes) {
+        let Some(round) = self.rounds.remove(&key) else { return };
+        if let Outcome::Done(value) | Outcome::Now(Some(value)) = &outcome {
+            self.all(&Message::Learned { key, value: value.clone() }, out);
+        }
+        tell(&round.job, outcome, out);
+        self.following(now, key, out);
+    }
+
+    fn rules(&self) -> Rules {
+        #[cfg(any(test, feature = "sabotage"))]
+        return Rules {
+            highest: self.guards.highest,
+            memories: self.guards.memories,
+            write_back: self.guards.write_back,
+            once: self.guards.once,
+        };
+        #[cfg(not(any(test, feature = "sabotage")))]
+        Rules { highest: true, memories: true, write_back: true, once: true }
+    }
+}
+
+fn tell(job: &Job, outcome: Outcome, out: &mut dyn Wishes) {
+    out.send(job.reply, &Message::Answer { request: job.request, outcome });
 }
--- /dev/null
+++ b/council/src/tests/guards.rs
@@ -0,0 +1,1 @@
+//! Each guard taken out: something breaks.
--- /dev/null
+++ b/council/src/tests/plain.rs
@@ -0,0 +1,1 @@
+//! Single machines: what they answer.
