--- /dev/null
+++ b/register/src/tests/errors.rs
@@ -0,0 +1,34 @@
+//! Every error says what is wrong, where, and what to try.
+
+use std::io;
+use std::path::PathBuf;
+
+use test_case::test_case;
+
+use crate::RegisterError;
+
+fn path() -> PathBuf {
+    PathBuf::from("/var/lib/x/council")
+}
+
+#[test_case(RegisterError::Io { path: path(), source: io::Error::other("full") }, "full", "check the disk")]
+#[test_case(RegisterError::Busy { path: path() }, "another process", "end the other daemon")]
+#[test_case(RegisterError::Foreign { path: path() }, "no council file", "check the path in the settings")]
+#[test_case(RegisterError::Newer { path: path(), found: 9, known: 2 }, "version 9", "start the newer program")]
+#[test_case(RegisterError::Damaged { path: path(), what: "torn".into() }, "torn", "move it away")]
+#[test_case(RegisterError::Empty { path: path() }, "no memory number", "move it away")]
+fn says_what_where_and_what_to_try(error: RegisterError, what: &str, tried: &str) {
+    let text = error.to_string();
+    for part in [what, tried, "/var/lib/x/council"] {
+        assert!(text.contains(part), "{part:?} is not in {text:?}");
+    }
+    // A new variant has to be put into the table above.
+    match error {
+        RegisterError::Io { .. }
+        | RegisterError::Busy { .. }
+        | RegisterError::Foreign { .. }
+        | RegisterError::Newer { .. }
+        | RegisterError::Damaged { .. }
+        | RegisterError::Empty { .. } => {}
+    }
+}
