--- a/council/src/tests/guards.rs
+++ b/council/src/tests/guards.rs
@@ -32,6 +32,17 @@
     assert_eq!(sound, None);
 }
 
+/// Run by hand: `cargo test --release -p ottersail-council long_search -- --ignored --nocapture`.
+#[test_case(3)]
+#[test_case(5)]
+#[test_case(7)]
+#[ignore = "takes a minute or more"]
+fn long_search(count: u64) {
+    for faults in [ROUGH, FORGETFUL] {
+        assert_eq!(broken(count, faults, Guards::ALL, 10_000), None);
+    }
+}
+
 #[test_case(true)]
 #[test_case(false)]
 fn two_without_memory_found_no_council_beside_one_that_remembers(founding_all: bool) {
