Council: the greatest messages of seven councillors measured against 900 bytes

A message that does not fit is never sent. The greatest of each kind, with bodies of 600 bytes and numbers at their longest, now stand in a test: all fit in 900 bytes and come back equal.

--- a/council/src/tests/mod.rs
+++ b/council/src/tests/mod.rs
@@ -6,4 +6,5 @@
 mod judge;
 mod plain;
 mod sim;
+mod sizes;
 mod times;
--- /dev/null
+++ b/council/src/tests/sizes.rs
@@ -0,0 +1,50 @@
+//! The greatest messages fit in what members carry.
+
+use test_case::test_case;
+
+use crate::message::Voice;
+use crate::*;
+
+const MOST: usize = 900;
+const KEY: Key = Key::Order(u16::MAX);
+const ID: RequestId = RequestId { member: MemberId(u64::MAX), life: Life(u64::MAX), number: u64::MAX };
+
+fn ballot() -> Ballot {
+    Ballot { number: u64::MAX, proposer: MemberId(u64::MAX), life: Life(u64::MAX) }
+}
+
+fn value() -> Value {
+    Value { revision: u64::MAX, by: ID, body: vec![255; BODY_MOST] }
+}
+
+/// Of seven councillors.
+fn voice() -> Voice {
+    let known = (0..7).map(|member| (MemberId(u64::MAX - member), Memory(u64::MAX))).collect();
+    Voice { memory: Memory(u64::MAX), known }
+}
+
+fn change() -> Change {
+    Change::Set { if_revision: u64::MAX, body: vec![255; BODY_MOST] }
+}
+
+fn page() -> Vec<(Key, Register)> {
+    vec![(KEY, Register { promised: ballot(), accepted: Some((ballot(), value())) })]
+}
+
+#[test_case(Message::Promise { key: KEY, ballot: ballot(), accepted: Some((ballot(), value())), voice: voice() })]
+#[test_case(Message::Accept { key: KEY, ballot: ballot(), value: value() })]
+#[test_case(Message::Accepted { key: KEY, ballot: ballot(), voice: voice() })]
+#[test_case(Message::Learned { key: KEY, value: value() })]
+#[test_case(Message::Propose { request: ID, key: KEY, change: change() })]
+#[test_case(Message::Answer { request: ID, outcome: Outcome::Done(value()) })]
+#[test_case(Message::Recover { memory: Memory(u64::MAX), roll: Some(voice().known), after: Some(KEY) })]
+#[test_case(Message::Recovered {
+    memory: Memory(u64::MAX), after: Some(KEY), page: page(), more: true, voice: voice()
+})]
+#[test_case(Message::Fetch { after: Some(KEY), upto: Some(KEY), have: vec![(KEY, u64::MAX); 50] })]
+#[test_case(Message::Found { values: vec![(KEY, value())], more: Some(KEY) })]
+fn fits(message: Message) {
+    let bytes = postcard::to_allocvec(&message).unwrap();
+    assert!(bytes.len() <= MOST, "{} bytes", bytes.len());
+    assert_eq!(postcard::from_bytes::<Message>(&bytes).unwrap(), message);
+}
