Parts: slots, leases by a majority's renewals, and how many a member should hold

Need: parts of the whole that sum to at most one while members come, go and are cut off. Change: package parts/ without I/O: bodies of slots, a councillor's renewals and guard, a holder, needs.

--- /dev/null
+++ b/parts/src/holder.rs
@@ -0,0 +1,217 @@
+//! A member's side: which slots it holds, until when it may count on them, and how it comes to hold more or less.
+
+use crate::bucket::Bucket;
+use crate::ids::{At, BucketNo, Epoch, Life, MemberId, Slot};
+use crate::messages::{Renewed, PAGE};
+use crate::notes::Note;
+use crate::terms::Terms;
+use crate::trouble::PartsError;
+use crate::wishes::Wishes;
+use ottersail::time::Ms;
+use std::collections::{BTreeMap, VecDeque};
+
+mod change;
+mod lease;
+
+/// What a member may act on: `slots` of `of`, until that time of its own clock and not a moment longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Part {
+    pub slots: u16,
+    pub of: u16,
+    pub until: At,
+}
+
+/// What the council says to a reading or a proposal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// What was read, or what was proposed and chosen.
+    Chosen { revision: u64, body: Vec<u8> },
+    /// Another change came first; this is what stands.
+    Conflict { revision: u64, body: Vec<u8> },
+    /// Councillors' guards kept it out, or no majority answered.
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Mine {
+    epoch: Epoch,
+    until: At,
+    /// Councillors, by their place in the terms, whose last word was no.
+    refused: u8,
+    /// Not counted any more, and not given back yet.
+    stopping: bool,
+}
+
+/// One page of renewals under way.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Round {
+    number: u32,
+    sent: At,
+    /// Epoch and councillors that granted, for each slot.
+    slots: BTreeMap<Slot, (Epoch, u8)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Book {
+    revision: u64,
+    bucket: Bucket,
+    /// A guard kept the last change out; it is let be until then.
+    shut_until: At,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Holder {
+    me: (MemberId, Life),
+    terms: Terms,
+    born: At,
+    slots: BTreeMap<Slot, Mine>,
+    /// Given back under that epoch; never taken up again under it, and proposed until the register says so.
+    let_go: BTreeMap<Slot, Epoch>,
+    books: BTreeMap<BucketNo, Book>,
+    rounds: VecDeque<Round>,
+    number: u32,
+    renew_at: At,
+    /// The bucket that the council was last asked about, and when.
+    asked: Option<(BucketNo, At)>,
+    act_at: At,
+    tries: u32,
+    wanted: u16,
+    alive: BTreeMap<MemberId, Life>,
+    chance: u64,
+}
+
+impl Holder {
+    pub fn born(now: Ms, seed: u64, me: (MemberId, Life), terms: Terms) -> Holder {
+        Holder {
+            me,
+            terms,
+            born: At(now),
+            slots: BTreeMap::new(),
+            let_go: BTreeMap::new(),
+            books: BTreeMap::new(),
+            rounds: VecDeque::new(),
+            number: 0,
+            renew_at: At(now),
+            asked: None,
+            act_at: At(now),
+            tries: 0,
+            wanted: 0,
+            alive: BTreeMap::new(),
+            chance: seed | 1,
+        }
+    }
+
+    /// What may be acted on at this moment. To be asked again at each write that rests on it: after a stop of
+    /// the process past `until` the first look says none.
+    pub fn holds(&self, now: Ms) -> Option<Part> {
+        let counted = || self.slots.values().filter(|it| self.counts(now, it)).map(|it| it.until);
+        let until = counted().min()?;
+        Some(Part { slots: counted().count() as u16, of: self.terms.slots, until })
+    }
+
+    /// Whether that slot is one of those behind [`Holder::holds`], for tests and an operator's pages.
+    pub fn holds_slot(&self, now: Ms, slot: Slot) -> bool {
+        self.slots.get(&slot).is_some_and(|it| self.counts(now, it))
+    }
+
+    fn counts(&self, now: Ms, mine: &Mine) -> bool {
+        let in_time = if self.terms.guards.until() { At(now) < mine.until } else { mine.until > At::NEVER };
+        in_time && !(mine.stopping && self.terms.guards.stop_first())
+    }
+
+    /// Slots in this member's name that it does not mean to give back, leased at this moment or not.
+    pub fn kept(&self) -> u16 {
+        self.slots.values().filter(|it| !it.stopping).count() as u16
+    }
+
+    /// How many slots to hold from now on; [`crate::Needs::aim`] says it.
+    pub fn aim(&mut self, now: Ms, wanted: u16, out: &mut dyn Wishes) {
+        self.wanted = wanted.min(self.terms.slots);
+        self.bell(now, out);
+    }
+
+    /// Who lives, and which life: slots of others are free to be asked for once their leases have run out.
+    pub fn roster(&mut self, alive: BTreeMap<MemberId, Life>) {
+        self.alive = alive;
+    }
+
+    pub fn bell_at(&self) -> Ms {
+        let answer = self.asked.map(|it| At(it.1 .0 + self.patience()));
+        self.renew_at.min(answer.unwrap_or(self.act_at)).0
+    }
+
+    pub fn bell(&mut self, now: Ms, out: &mut dyn Wishes) {
+        self.renew_when_due(now, out);
+        if self.asked.is_some_and(|it| now >= it.1 .0 + self.patience()) {
+            out.note(Note::Unanswered);
+            self.put_off(now);
+        }
+        if self.asked.is_none() && At(now) >= self.act_at {
+            self.act(now, out);
+        }
+    }
+
+    /// Nothing rests any more on what [`Wishes::shrink`] took off: it is given back.
+    pub fn stopped(&mut self, now: Ms, out: &mut dyn Wishes) {
+        let gone: Vec<(Slot, Epoch)> =
+            self.slots.iter().filter(|it| it.1.stopping).map(|it| (*it.0, it.1.epoch)).collect();
+        for (slot, epoch) in &gone {
+            out.note(Note::Released);
+            self.let_go.insert(*slot, *epoch);
+        }
+        if self.terms.guards.stop_first() {
+            self.slots.retain(|_, it| !it.stopping);
+        }
+        self.tell_releases(out);
+        self.act_at = At(now);
+        self.bell(now, out);
+    }
+
+    /// What stands in a register, learned by following or by an answer.
+    ///
+    /// # Errors
+    /// [`PartsError::Body`]; nothing is changed then.
+    pub fn learned(
+        &mut self,
+        no: BucketNo,
+        revision: u64,
+        body: &[u8],
+        out: &mut dyn Wishes,
+    ) -> Result<(), PartsError> {
+        if self.books.get(&no).is_some_and(|it| it.revision >= revision) {
+            return Ok(());
+        }
+        let bucket = Bucket::read(no, self.terms.seats(no), body)?;
+        for (seat, it) in bucket.seats() {
+            let slot = no.slot(seat);
+            if self.let_go.get(&slot).is_some_and(|epoch| it.epoch > *epoch) {
+                self.let_go.remove(&slot);
+            }
+            let known = self.slots.get(&slot).map(|mine| mine.epoch);
+            if known.is_some_and(|epoch| epoch < it.epoch) {
+                self.lose(slot, out);
+            }
+            let new = known.is_none_or(|epoch| epoch < it.epoch) && !self.let_go.contains_key(&slot);
+            if it.held == Some(self.me) && new {
+                out.note(Note::Acquired);
+                let mine = Mine { epoch: it.epoch, until: At::NEVER, refused: 0, stopping: false };
+                self.slots.insert(slot, mine);
+                // A slot counts from its first renewal: do not wait for the next round.
+                self.renew_at = At::NEVER;
+            }
+        }
+        self.books.insert(no, Book { revision, bucket, shut_until: At::NEVER });
+        Ok(())
+    }
+
+    fn lose(&mut self, slot: Slot, out: &mut dyn Wishes) {
+        self.slots.remove(&slot);
+        out.note(Note::Lost);
+    }
+
+    /// A number below that one.
+    fn below(&mut self, limit: usize) -> usize {
+        self.chance = (self.chance & 0xffff_ffff) * 4_294_957_665 + (self.chance >> 32);
+        (((self.chance & 0xffff_ffff) * limit as u64) >> 32) as usize
+    }
+}
--- /dev/null
+++ b/parts/src/holder/change.rs
@@ -0,0 +1,156 @@
+//! How a member comes to hold more or less: one change of one register at a time.
+
+use super::*;
+use crate::bucket::SEATS;
+
+/// The shortest wait after a conflict, as a part of the lease; doubled at each further one.
+const BACK_OFF: f64 = 1.0 / 128.0;
+const MOST_DOUBLED: u32 = 5;
+
+impl Holder {
+    /// How long the council may take to answer.
+    pub(super) fn patience(&self) -> Ms {
+        self.terms.lease() * 0.5
+    }
+
+    /// What was asked got no answer: it may have been done or not, so the register is read before the next try.
+    pub(super) fn put_off(&mut self, now: Ms) {
+        if let Some((no, _)) = self.asked.take() {
+            self.books.remove(&no);
+        }
+        self.back_off(now);
+    }
+
+    /// By chance, so that members who met do not meet again.
+    fn back_off(&mut self, now: Ms) {
+        let longest = self.terms.lease() * (BACK_OFF * f64::from(1 << self.tries.min(MOST_DOUBLED)));
+        self.tries += 1;
+        self.act_at = At(now + longest * ((1 + self.below(64)) as f64 / 64.0));
+    }
+
+    /// The council's answer to the last reading or proposal.
+    ///
+    /// # Errors
+    /// [`PartsError::Body`] if the register cannot be read; it is tried again later.
+    pub fn answered(
+        &mut self,
+        now: Ms,
+        no: BucketNo,
+        answer: Answer,
+        out: &mut dyn Wishes,
+    ) -> Result<(), PartsError> {
+        let waited_for = self.asked.is_some_and(|it| it.0 == no);
+        if waited_for {
+            self.asked = None;
+        }
+        let read = match answer {
+            Answer::Chosen { revision, body } => {
+                let read = self.learned(no, revision, &body, out);
+                if waited_for && read.is_ok() {
+                    (self.tries, self.act_at) = (0, At(now));
+                }
+                read
+            }
+            Answer::Conflict { revision, body } => {
+                out.note(Note::Conflict);
+                // What is known may come from a store that has been lost since: what stands is told here.
+                self.books.remove(&no);
+                let read = self.learned(no, revision, &body, out);
+                self.back_off(now);
+                read
+            }
+            Answer::Refused => {
+                out.note(Note::Refused);
+                let shut_until = At(now + self.terms.renew_every());
+                self.books.entry(no).and_modify(|it| it.shut_until = shut_until);
+                self.back_off(now);
+                Ok(())
+            }
+        };
+        if read.is_err() {
+            self.act_at = At(now + self.patience());
+        }
+        self.bell(now, out);
+        read
+    }
+
+    /// Gives back what is let go, else stops using what is too much, else asks for what is missing.
+    pub(super) fn act(&mut self, now: Ms, out: &mut dyn Wishes) {
+        let kept = self.kept();
+        if let Some(no) = self.let_go.keys().next().map(|it| it.bucket()) {
+            self.tell_releases(out);
+            let seats: Vec<usize> =
+                self.let_go.keys().filter(|it| it.bucket() == no).map(|it| it.seat()).collect();
+            self.change(now, no, out, |bucket, me| bucket.release(&seats, me));
+        } else if kept > self.wanted {
+            self.stop_some(now, usize::from(kept - self.wanted), out);
+        } else if kept < self.wanted {
+            self.ask_more(now, usize::from(self.wanted - kept), out);
+        } else {
+            self.act_at = At(now + self.terms.renew_every());
+        }
+    }
+
+    /// Out of the bucket where this member has fewest, so that few registers are written for it later.
+    fn stop_some(&mut self, now: Ms, count: usize, out: &mut dyn Wishes) {
+        let mut mine: BTreeMap<BucketNo, usize> = BTreeMap::new();
+        self.slots.keys().for_each(|it| *mine.entry(it.bucket()).or_default() += 1);
+        let least = mine.iter().min_by_key(|it| (*it.1, *it.0)).map(|it| *it.0);
+        let some = self.slots.iter_mut().filter(|it| Some(it.0.bucket()) == least).take(count);
+        some.for_each(|it| it.1.stopping = true);
+        self.act_at = At(now + self.terms.renew_every());
+        out.shrink(self.holds(now));
+    }
+
+    /// In the bucket with most to be had; else one that is not known, else any one again, by chance.
+    fn ask_more(&mut self, now: Ms, count: usize, out: &mut dyn Wishes) {
+        let alive = self.alive.clone();
+        // After the own start the roster may not be whole yet.
+        let settled = !alive.is_empty() && now >= self.born.0 + self.terms.lease();
+        let me = self.me;
+        let gone = move |id: MemberId, life: Life| {
+            settled && (id, life) != me && alive.get(&id).is_none_or(|it| *it != life)
+        };
+        let lapsed = |it: &Bucket| it.expire(SEATS, &gone).free() - it.free();
+        let most = |it: &Book| (it.bucket.free().min(count), lapsed(&it.bucket).min(count));
+        let open = self.books.iter().filter(|it| At(now) >= it.1.shut_until);
+        let best = open.map(|it| (most(it.1), *it.0)).filter(|it| it.0 != (0, 0)).max();
+        if let Some(((free, _), no)) = best {
+            // Free ones first: a change that only takes these waits for no lease.
+            let expired = if free > 0 { 0 } else { count };
+            self.change(now, no, out, |it, me| it.expire(expired, &gone).acquire(count, me));
+            return;
+        }
+        let all: Vec<BucketNo> = self.terms.buckets().collect();
+        let unknown: Vec<BucketNo> = all.iter().filter(|it| !self.books.contains_key(it)).copied().collect();
+        let among = if unknown.is_empty() { &all } else { &unknown };
+        if among.is_empty() {
+            return;
+        }
+        let no = among[self.below(among.len())];
+        if unknown.is_empty() {
+            self.back_off(now);
+        }
+        self.asked = Some((no, At(now)));
+        out.read(no);
+    }
+
+    fn change(
+        &mut self,
+        now: Ms,
+        no: BucketNo,
+        out: &mut dyn Wishes,
+        by: impl FnOnce(&Bucket, (MemberId, Life)) -> Bucket,
+    ) {
+        self.asked = Some((no, At(now)));
+        let Some(book) = self.books.get(&no) else { return out.read(no) };
+        match by(&book.bucket, self.me).body() {
+            Ok(body) => {
+                out.note(Note::Proposed);
+                out.propose(no, book.revision, body);
+            }
+            // Cannot be: 834 bytes at most. Waited for like an answer that stays out.
+            Err(_) => self.act_at = At(now + self.patience()),
+        }
+    }
+}
--- /dev/null
+++ b/parts/src/tests.rs
@@ -0,0 +1,12 @@
+//! Tables of the guards, one by one; histories of whole fleets in a simple model of the council.
+
+mod holding;
+mod tables;
+
+use crate::{Guards, MemberId, Terms};
+
+/// 10 s leases, clocks within 1 %.
+fn terms(slots: u16, councillors: u64) -> Terms {
+    let councillors = (1..=councillors).map(MemberId).collect();
+    Terms { slots, lease_ms: 10_000, drift_ppm: 10_000, councillors, guards: Guards::default() }
+}
--- /dev/null
+++ b/parts/src/tests/holding.rs
@@ -0,0 +1,133 @@
+//! A holder's and its needs' rules, each by itself.
+
+use super::terms;
+use crate::*;
+use ottersail::time::Ms;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const A: (MemberId, Life) = (MemberId(11), Life(1));
+
+/// Notes all that is wished.
+#[derive(Default)]
+struct Wished {
+    renewals: Vec<(MemberId, Renew)>,
+    releases: usize,
+    proposals: Vec<(BucketNo, u64, Vec<u8>)>,
+    shrunk: Vec<Option<Part>>,
+    figures: Figures,
+}
+
+impl Wishes for Wished {
+    fn renew(&mut self, to: MemberId, message: &Renew) {
+        self.renewals.push((to, message.clone()));
+    }
+    fn release(&mut self, _: MemberId, _: &Release) {
+        self.releases += 1;
+    }
+    fn read(&mut self, _: BucketNo) {}
+    fn propose(&mut self, bucket: BucketNo, if_revision: u64, body: Vec<u8>) {
+        self.proposals.push((bucket, if_revision, body));
+    }
+    fn shrink(&mut self, part: Option<Part>) {
+        self.shrunk.push(part);
+    }
+    fn note(&mut self, note: Note) {
+        self.figures.count(note);
+    }
+}
+
+/// A holds slots 0 and 1 of 24; asked all three councillors at 0.
+fn holder(out: &mut Wished) -> Holder {
+    let mut holder = Holder::born(Ms(0.0), 5, A, terms(24, 3));
+    holder.learned(BucketNo(0), 1, &Bucket::empty(24).acquire(2, A).body().unwrap(), out).unwrap();
+    holder.aim(Ms(0.0), 2, out);
+    holder
+}
+
+fn answer(holder: &mut Holder, at: f64, from: u64, refused: &[Slot], out: &mut Wished) {
+    let answer = Renewed { life: A.1, number: 1, refused: refused.to_vec() };
+    holder.renewed(Ms(at), MemberId(from), &answer, out);
+}
+
+#[test_case(&[1], 0; "one of three is not enough")]
+#[test_case(&[1, 1], 0; "one twice is one")]
+#[test_case(&[1, 9], 0; "one who is no councillor does not count")]
+#[test_case(&[1, 3], 2; "two are")]
+fn a_majority_renews(from: &[u64], slots: u16) {
+    let mut out = Wished::default();
+    let mut holder = holder(&mut out);
+    assert_eq!(out.renewals.len(), 3);
+    from.iter().for_each(|it| answer(&mut holder, 4e3, *it, &[], &mut out));
+    let part = holder.holds(Ms(4e3));
+    assert_eq!(part.map_or(0, |it| it.slots), slots);
+    // From the sending, not from the answer; and a look at its end finds none.
+    let ends = part.map(|it| it.until);
+    assert!(ends.is_none_or(|it| it == At(Ms(9_800.0))), "{ends:?}");
+    assert_eq!(holder.holds(Ms(9_800.0)), None);
+}
+
+#[test]
+fn a_slot_that_a_majority_refuses_is_lost_at_once() {
+    let mut out = Wished::default();
+    let mut holder = holder(&mut out);
+    [1, 2].iter().for_each(|it| answer(&mut holder, 1.0, *it, &[], &mut out));
+    answer(&mut holder, 2.0, 1, &[Slot(1)], &mut out);
+    assert_eq!(holder.holds(Ms(2.0)).map(|it| it.slots), Some(2));
+    answer(&mut holder, 2.0, 3, &[Slot(1)], &mut out);
+    assert_eq!((holder.holds(Ms(2.0)).map(|it| it.slots), out.figures.lost), (Some(1), 1));
+}
+
+#[test]
+fn the_council_hears_of_a_release_only_after_the_stop() {
+    let mut out = Wished::default();
+    let mut holder = holder(&mut out);
+    [1, 2].iter().for_each(|it| answer(&mut holder, 1.0, *it, &[], &mut out));
+    holder.aim(Ms(3e3), 1, &mut out);
+    assert_eq!(holder.holds(Ms(3e3)).map(|it| it.slots), Some(1));
+    assert_eq!((out.shrunk.len(), out.releases, out.proposals.len()), (1, 0, 0));
+    holder.stopped(Ms(3e3), &mut out);
+    assert!(out.releases >= 3 && out.proposals.len() == 1);
+    // What the register still says does not bring it back.
+    holder.learned(BucketNo(0), 2, &Bucket::empty(24).acquire(2, A).body().unwrap(), &mut out).unwrap();
+    assert_eq!(holder.kept(), 1);
+}
+
+fn needs(own: u32, others: &[(u64, Option<(u32, u16)>)], slots: u16) -> Needs {
+    let mut needs = Needs::born(Ms(0.0), MemberId(1), terms(slots, 3));
+    needs.arrived(Ms(0.0), own);
+    let rider = |it: (u32, u16)| Rider { need: it.0 * 1_000, held: it.1 };
+    needs.roster(others.iter().map(|it| (MemberId(it.0), it.1.map(rider))).collect::<BTreeMap<_, _>>());
+    needs
+}
+
+#[test_case(0, &[], 24, 24; "alone")]
+#[test_case(0, &[(2, None), (3, None)], 24, 8; "nothing is known: equal parts")]
+#[test_case(0, &[(2, Some((0, 0))), (3, None)], 24, 8; "little is known")]
+#[test_case(6_000, &[(2, Some((10, 0)))], 202, 182; "ten times the arrivals")]
+#[test_case(0, &[(2, Some((1_000, 0)))], 24, 1; "one slot at least")]
+#[test_case(0, &[(2, None), (3, None), (4, None)], 2, 1; "more members than slots")]
+fn parts_go_by_need(own: u32, others: &[(u64, Option<(u32, u16)>)], slots: u16, target: u16) {
+    assert_eq!(needs(own, others, slots).targets(Ms(0.0), 0)[&MemberId(1)], target);
+}
+
+#[test_case(0, 8; "far below: all at once, from what is free")]
+#[test_case(7, 8; "a little below")]
+#[test_case(9, 9; "a little above, nobody short")]
+#[test_case(24, 16; "far above: half of what is too much")]
+fn an_aim_waits_for_a_quarter(held: u16, aim: u16) {
+    let mut needs = needs(0, &[(2, Some((0, 8))), (3, Some((0, 8)))], 24);
+    assert_eq!(needs.aim(Ms(1e3), held), aim);
+    // One change in ten seconds.
+    assert_eq!(needs.aim(Ms(10_999.0), aim), aim);
+}
+
+#[test]
+fn the_fullest_give_to_a_newcomer_within_the_band() {
+    let mut needs = needs(0, &[(2, Some((0, 13))), (3, Some((0, 0)))], 27);
+    assert_eq!(
+        needs.aim(Ms(1e3), 10),
+        9,
+        "its part of the nine that are short, no more than half its own excess"
+    );
+}
