--- a/parts/src/holder.rs
+++ b/parts/src/holder.rs
@@ -74,6 +74,8 @@
     /// The bucket that the council was last asked about, and when.
     asked: Option<(BucketNo, At)>,
     act_at: At,
+    /// What was asked is a further look where all was full.
+    looked: bool,
     tries: u32,
     wanted: u16,
     alive: BTreeMap<MemberId, Life>,
@@ -94,6 +96,7 @@
             renew_at: At(now),
             asked: None,
             act_at: At(now),
+            looked: false,
             tries: 0,
             wanted: 0,
             alive: BTreeMap::new(),
--- a/parts/src/holder/change.rs
+++ b/parts/src/holder/change.rs
@@ -47,7 +47,10 @@
             Answer::Chosen { revision, body } => {
                 let read = self.learned(no, revision, &body, out);
                 if waited_for && read.is_ok() {
-                    (self.tries, self.act_at) = (0, At(now));
+                    // Where all is known and full, looking again is no hurry and each look costs the council.
+                    let pause =
+                        if std::mem::take(&mut self.looked) { self.terms.renew_every() } else { Ms(0.0) };
+                    (self.tries, self.act_at) = (0, At(now + pause));
                 }
                 read
             }
@@ -74,6 +77,7 @@
         read
     }
 
+    /// With no lease in force the council is gone: nothing is given up then, so that all comes back as it was.
     /// Gives back what is let go, else stops using what is too much, else asks for what is missing.
     pub(super) fn act(&mut self, now: Ms, out: &mut dyn Wishes) {
         let kept = self.kept();
@@ -82,7 +86,7 @@
             let seats: Vec<usize> =
                 self.let_go.keys().filter(|it| it.bucket() == no).map(|it| it.seat()).collect();
             self.change(now, no, out, |bucket, me| bucket.release(&seats, me));
-        } else if kept > self.wanted {
+        } else if kept > self.wanted && self.holds(now).is_some() {
             self.stop_some(now, usize::from(kept - self.wanted), out);
         } else if kept < self.wanted {
             self.ask_more(now, usize::from(self.wanted - kept), out);
@@ -114,8 +118,13 @@
         let lapsed = |it: &Bucket| it.expire(SEATS, &gone).free() - it.free();
         let most = |it: &Book| (it.bucket.free().min(count), lapsed(&it.bucket).min(count));
         let open = self.books.iter().filter(|it| At(now) >= it.1.shut_until);
-        let best = open.map(|it| (most(it.1), *it.0)).filter(|it| it.0 != (0, 0)).max();
-        if let Some(((free, _), no)) = best {
+        let open: Vec<((usize, usize), BucketNo)> =
+            open.map(|it| (most(it.1), *it.0)).filter(|it| it.0 != (0, 0)).collect();
+        let best = open.iter().map(|it| it.0).max();
+        let among: Vec<BucketNo> = open.iter().filter(|it| Some(it.0) == best).map(|it| it.1).collect();
+        if let Some((free, _)) = best {
+            // One of the best by chance: members who know the same do not all go to the same register.
+            let no = among[self.below(among.len())];
             // Free ones first: a change that only takes these waits for no lease.
             let expired = if free > 0 { 0 } else { count };
             self.change(now, no, out, |it, me| it.expire(expired, &gone).acquire(count, me));
@@ -128,9 +137,7 @@
             return;
         }
         let no = among[self.below(among.len())];
-        if unknown.is_empty() {
-            self.back_off(now);
-        }
+        self.looked = unknown.is_empty();
         self.asked = Some((no, At(now)));
         out.read(no);
     }
--- a/parts/src/needs.rs
+++ b/parts/src/needs.rs
@@ -91,7 +91,9 @@
         let pace = if far_below { FILL_EVERY } else { CHANGE_EVERY };
         self.aim = held;
         if since >= self.terms.lease() * pace {
-            self.aim = if held < mine { mine } else { held - self.given(held, mine, &targets) };
+            // Within the band only what nobody holds is worth asking for.
+            let most = if far_below { mine } else { mine.min(held.saturating_add(self.free(held))) };
+            self.aim = if held < mine { most } else { held - self.given(held, mine, &targets) };
         }
         if self.aim != held {
             self.changed = now;
@@ -99,6 +101,13 @@
         self.aim
     }
 
+    /// Slots that nobody told of; none while somebody has told nothing.
+    fn free(&self, held: u16) -> u16 {
+        let told: Option<u32> = self.others.values().map(|it| it.map(|it| u32::from(it.held))).sum();
+        let all = u32::from(self.terms.slots).saturating_sub(u32::from(held));
+        told.map_or(0, |it| all.saturating_sub(it) as u16)
+    }
+
     /// What goes to others: past the band anyway, within it only while somebody else is short.
     fn given(&self, held: u16, mine: u16, targets: &BTreeMap<MemberId, u16>) -> u16 {
         let over = f64::from(held) - f64::from(mine);
--- a/parts/src/tests.rs
+++ b/parts/src/tests.rs
@@ -1,7 +1,11 @@
 //! Tables of the guards, one by one; histories of whole fleets in a simple model of the council.
 
+mod council;
+mod fleets;
+mod histories;
 mod holding;
 mod tables;
+mod world;
 
 use crate::{Guards, MemberId, Terms};
 
