--- a/parts/src/holder.rs
+++ b/parts/src/holder.rs
@@ -121,6 +121,11 @@
         self.slots.get(&slot).is_some_and(|it| self.counts(now, it))
     }
 
+    /// The slots behind [`Holder::holds`]; members who take turns take them by these.
+    pub fn slots(&self, now: Ms) -> impl Iterator<Item = Slot> + '_ {
+        self.slots.iter().filter(move |it| self.counts(now, it.1)).map(|it| *it.0)
+    }
+
     fn counts(&self, now: Ms, mine: &Mine) -> bool {
         let in_time = if self.terms.guards.until() { At(now) < mine.until } else { mine.until > At::NEVER };
         in_time && !(mine.stopping && self.terms.guards.stop_first())
