Parts: histories look at the slots that a holder names itself

Need: what the decisions would be given was not what the histories checked. Change: the check goes through Holder::slots; learned says that only chosen values may be told.

--- a/parts/src/holder.rs
+++ b/parts/src/holder.rs
@@ -179,7 +179,8 @@
         self.bell(now, out);
     }
 
-    /// What stands in a register, learned by following or by an answer.
+    /// What stands in a register, learned by following or by an answer. Only what is chosen may be told here:
+    /// a councillor grants epochs that it has not accepted itself yet.
     ///
     /// # Errors
     /// [`PartsError::Body`]; nothing is changed then.
--- a/parts/src/tests/world.rs
+++ b/parts/src/tests/world.rs
@@ -211,12 +211,11 @@
 
     /// A slot is counted anew only when a renewal is answered: then nobody else may count it.
     fn check(&mut self, node: usize) {
-        let holds =
-            |it: usize, slot| self.nodes[it].holder.holds_slot(self.nodes[it].clock.local(self.now), slot);
-        for slot in (0..self.terms.slots).map(Slot).filter(|it| holds(node, *it)) {
-            if let Some(other) =
-                (0..self.nodes.len()).find(|it| *it != node && self.nodes[*it].up && holds(*it, slot))
-            {
+        let local = |it: usize| self.nodes[it].clock.local(self.now);
+        let others = |it: &usize| *it != node && self.nodes[*it].up;
+        for slot in self.nodes[node].holder.slots(local(node)) {
+            let holds = |it: &usize| self.nodes[*it].holder.holds_slot(local(*it), slot);
+            if let Some(other) = (0..self.nodes.len()).filter(others).find(holds) {
                 self.broken.get_or_insert((self.now, slot, node, other));
             }
         }
