--- a/members/src/machine.rs
+++ b/members/src/machine.rs
@@ -217,11 +217,12 @@
         let helps = self.helps.values().map(|help| help.due);
         let suspicions =
             self.suspects.iter().filter_map(|id| self.peers.get(id)?.suspicion.as_ref()).map(|it| it.ends);
-        let gossip = (!self.rumours.is_empty()).then_some(self.next_gossip);
+        let gossip = (!self.rumours.is_empty() && !self.passive()).then_some(self.next_gossip);
         let all = probes.chain(helps).chain(suspicions).chain(gossip);
         let fixed = [self.next_period, self.next_exchange, self.next_recall];
         let first = all.chain(fixed).min().unwrap_or(now);
-        self.bell = first.max(now);
+        // Guards against a bell that rings again at once, for ever, should anything stay due.
+        self.bell = first.max(now + Ms(1.0));
     }
 
     pub(crate) fn note(&mut self, change: Change, out: &mut dyn Wishes) {
