Members: the table of cuts checks who hears whom of a pair

Need: Hearing is what an operator sees of a one-sided cut, and nothing checked it. Change: the pair's cells compare the hearing on both sides.

--- a/members/tests/cuts.rs
+++ b/members/tests/cuts.rs
@@ -106,7 +106,14 @@
     let of_upper = held(&net, lower.clone(), upper.clone());
     let of_lower = held(&net, upper.clone(), lower.clone());
     println!("swings {}, wrong {}", most_swings(&net, from), net.wrong());
-    println!("hearing {:?} and {:?}", hearing(&net, lower.start, 9), hearing(&net, 9, lower.start));
+    if who == Who::Pair {
+        let wanted = match way {
+            Way::Deaf => (Hearing::OnlyIHear, Hearing::OnlyHeard),
+            Way::Mute => (Hearing::OnlyHeard, Hearing::OnlyIHear),
+            Way::Both => (Hearing::ByOthers, Hearing::ByOthers),
+        };
+        assert_eq!((hearing(&net, 4, 9), hearing(&net, 9, 4)), (Some(wanted.0), Some(wanted.1)));
+    }
     assert_eq!(of_upper, BTreeSet::from([lower_of_upper]), "lower's view of upper");
     assert_eq!(of_lower, BTreeSet::from([upper_of_lower]), "upper's view of lower");
     // Those on one side go on believing each other.
