--- a/explore/src/net/step.rs
+++ b/explore/src/net/step.rs
@@ -69,7 +69,8 @@
 }
 
 impl<M: Machine> Net<M> {
-    /// `machines` with clocks at 0, all up, nothing in flight. Without `rates` every clock goes one unit a tick.
+    /// `machines` with clocks at 0, all up, nothing in flight. Without `rates` every clock goes one unit a
+    /// tick.
     pub fn new(machines: Vec<M>, faults: Faults, rates: Rates) -> Net<M> {
         let spot = |machine| Spot { machine, up: true, paused: false, clock: 0 };
         let spots: Vec<Spot<M>> = machines.into_iter().map(spot).collect();
@@ -87,8 +88,8 @@
         self
     }
 
-    /// All that may happen next. Pausing is a fault only where acts fall due ([`Machine::due`]): elsewhere any
-    /// machine may be late anyway.
+    /// All that may happen next. Pausing is a fault only where acts fall due ([`Machine::due`]): elsewhere
+    /// any machine may be late anyway.
     pub fn steps(&self) -> Vec<NetStep<M>> {
         let mut steps = Vec::new();
         for (from, to, message) in self.flight.keys() {
--- a/explore/src/print.rs
+++ b/explore/src/print.rs
@@ -1,8 +1,8 @@
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
-/// Takes a state in through [`Hash`] and gives 128 bits: two lanes that begin differently. Keys are fixed, so a
-/// state has the same print in every run of one build.
+/// Takes a state in through [`Hash`] and gives 128 bits: two lanes that begin differently. Keys are fixed,
+/// so a state has the same print in every run of one build.
 pub struct Printer {
     low: DefaultHasher,
     high: DefaultHasher,
--- a/explore/src/search.rs
+++ b/explore/src/search.rs
@@ -10,7 +10,8 @@
     pub depth: usize,
     /// States seen.
     pub states: usize,
-    /// Bytes, by estimate: [`World::weight`] for each state still to be followed, and what is kept of each seen.
+    /// Bytes, by estimate: [`World::weight`] for each state still to be followed, and what is kept of each
+    /// seen.
     pub bytes: usize,
 }
 
@@ -35,7 +36,8 @@
     depth: usize,
 }
 
-/// Goes through all histories of `first`, shortest first, until one is bad, all states are seen or a bound is hit.
+/// Goes through all histories of `first`, shortest first, until one is bad, all states are seen or a bound
+/// is hit.
 pub fn explore<W: World>(first: W, limits: Limits) -> Report<W::Step> {
     let mut search = Search { limits, came: Vec::new(), seen: HashSet::new(), steps: 0, depth: 0 };
     let verdict = search.run(first);
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -23,8 +23,8 @@
     fn print(&self) -> u128;
 
     /// The print of the state's class under renaming of ids. A world that overrides this says that its steps,
-    /// [`World::broken`] and [`World::stuck`] do not tell renamed states apart: a tie broken by the lower id, for
-    /// one, makes that untrue. [`crate::least_print`] helps.
+    /// [`World::broken`] and [`World::stuck`] do not tell renamed states apart: a tie broken by the lower
+    /// id, for one, makes that untrue. [`crate::least_print`] helps.
     fn canonical(&self) -> u128 {
         self.print()
     }
--- a/explore/tests/known_worlds.rs
+++ b/explore/tests/known_worlds.rs
@@ -6,7 +6,8 @@
 use test_case::test_case;
 use worlds::{Commit, Counters, Lock, Locks};
 
-/// Both look before either raises its flag: look, look, raise, raise, enter, enter; one enters at the sixth step.
+/// Both look before either raises its flag: look, look, raise, raise, enter, enter; one enters at the sixth
+/// step.
 #[test]
 fn the_broken_lock_breaks_by_the_shortest_history() {
     let report = explore(Locks::new(Lock::LooksThenRaises), Limits::default());
--- a/explore/tests/network.rs
+++ b/explore/tests/network.rs
@@ -117,7 +117,8 @@
     assert_eq!(calm.covered(), Ok(()), "{calm}");
 }
 
-/// The bell holds time up in a machine that runs, so the pause needs the ticks past it: without a third, none.
+/// The bell holds time up in a machine that runs, so the pause needs the ticks past it: without a third,
+/// none.
 #[test]
 fn time_waits_for_a_bell_that_is_due() {
     assert_eq!(run(Faults { pause: 1, ticks: 2, ..CALM }, vec![], late).covered(), Ok(()));
