Cold pace by slots: who counts and who takes turns goes by a slot, not by a holder

Cause: a holder of many slots counted set-ups in any window while holders of one took turns, and any window touches two turns: 7 of 6 allowed (test case 'one with many slots beside such with one'). Line at fault: mine, by this manager's slots over all, in pace_allows. Change: the way is chosen by what one slot gives, the same for all, and a turn gives a set-up a slot.

--- a/src/brain/pace.rs
+++ b/src/brain/pace.rs
@@ -3,8 +3,8 @@
 use super::*;
 
 impl Brain {
-    /// Rule 4: this manager's part of what a cold server takes in any window. Where that is under one, as
-    /// many managers as half a window bears have a turn together, a window long: any window touches two.
+    /// Rule 4: this manager's part of what a cold server takes in any window. Where that is under one a slot, as
+    /// many slots as half a window bears have a turn together, a window long: any window touches two.
     pub(super) fn pace_allows(&self, server: &Server) -> bool {
         let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
         let sure = server.failures == 0 && self.now >= self.unsure_until;
@@ -17,9 +17,9 @@
         let pace = places / cold.lasts.0 * cold.start_capacity * cold.fall_multiple / weight;
         let all = (pace * cold.fall_window.0).floor();
         let since = |start: Ms| server.sent.iter().filter(|at| **at > start).count() as f64;
-        let mine = (all * self.slots.len() as f64 / managers).floor();
-        if mine >= 1.0 {
-            return since(self.now - cold.fall_window) < mine;
+        let each = (all / managers).floor();
+        if each >= 1.0 {
+            return since(self.now - cold.fall_window) < each * self.slots.len() as f64;
         }
         let length = cold.fall_window * if all >= 2.0 { 1.0 } else { 2.0 };
         let turn = (self.now / length).floor();
@@ -27,8 +27,8 @@
         let together = (all / 2.0).floor().max(1.0);
         let shift = name_sum(&server.entry.server.to_string());
         let whose = (turn + shift as f64).rem_euclid((managers / together).ceil());
-        let my_turn = self.slots.iter().any(|it| whose == (*it as f64 / together).floor());
-        my_turn && early && since(length * turn - Ms(1e-6)) < 1.0
+        let mine = self.slots.iter().filter(|it| whose == (**it as f64 / together).floor()).count() as f64;
+        early && since(length * turn - Ms(1e-6)) < mine
     }
 
     /// Takes note of how a tune-in, a viewing or a probe ended.
--- a/src/brain/tests/pace.rs
+++ b/src/brain/tests/pace.rs
@@ -87,16 +87,25 @@
 
 // 48 places: 6 in a window, so with 16 slots or more they take turns, three slots together.
 #[test_case(48.0, &[&[0, 1, 2, 3], &[4], &[5], &[6, 7, 8]], 9.0, 6; "turns by slots, unevenly held")]
+#[test_case(48.0, &[&[0, 1, 2, 3], &[4], &[5], &[6], &[7], &[8]], 9.0, 6; "one with many slots beside such with one")]
 #[test_case(800.0, &[&[0, 1, 2, 3], &[4], &[5], &[6, 7, 8]], 9.0, 106; "counts by slots, unevenly held")]
 #[test_case(48.0, &[&[0], &[], &[5]], 9.0, 6; "slots that nobody holds stay unused")]
 fn rule_4_parts_by_slots(places: f64, held: &[&[u64]], of: f64, all: usize) {
+    for on_edges in [false, true] {
+        parts_by_slots(places, held, of, all, on_edges);
+    }
+}
+
+// Set-ups go out whenever they may, or only about an edge between two turns.
+fn parts_by_slots(places: f64, held: &[&[u64]], of: f64, all: usize, on_edges: bool) {
     let mut sent: Vec<(f64, usize)> = Vec::new();
+    let edge = |tick: &usize| (95..105).contains(&(tick % 200));
     for (number, slots) in held.iter().enumerate() {
         let mut it = brain(Terms { managers: 4.0, me: ManagerIx(number as u64), ..terms() }, 1);
         it.part(slots, of);
         it.terms.places.insert("k".into(), places);
         server(&mut it, "s0").cold_until = Ms(1e9);
-        for tick in 0..2000 {
+        for tick in (0..4000).filter(|it| !on_edges || edge(it)) {
             it.now = Ms(100_000.0 + tick as f64 * 10.0);
             while it.pace_allows(&it.servers[&"s0".into()]) {
                 let now = it.now;
