Council: a sound councillor whose number was left behind is told and counts again

A long search of random histories found registers that nobody could read with all well: a recovery cut off by another loss had left one councillor with a later number than the one recovered with, so that answers under it never counted. Who sees that now tells the councillor, which raises its number in place.

--- a/council/src/acceptor.rs
+++ b/council/src/acceptor.rs
@@ -177,6 +177,15 @@
         true
     }
 
+    /// Others know a later number, of a recovery that was cut off. What is held here is whole, so it may stand
+    /// under a greater one; what was said under the lesser is merely not counted.
+    pub fn outdated(&mut self, known: Memory, out: &mut dyn Wishes) {
+        let mine = self.stored.memory;
+        if known > mine {
+            self.keep(vec![Record::Mine(mine.above(known))], None, out);
+        }
+    }
+
     /// Whether all that was wished kept is kept.
     pub fn idle(&self) -> bool {
         self.waiting.is_empty()
--- a/council/src/councillor.rs
+++ b/council/src/councillor.rs
@@ -196,6 +196,7 @@
             Message::Promise { .. } | Message::Accepted { .. } | Message::Refused { .. } => {
                 self.proposer.message(now, from, message, out);
             }
+            Message::Outdated { known } if self.sound() => self.acceptor.outdated(*known, out),
             _ if self.sound() => self.acceptor.message(now, from, message, guard, out),
             _ => self.recovery.message(from, message, terms, &mut self.acceptor, out),
         }
--- a/council/src/proposer.rs
+++ b/council/src/proposer.rs
@@ -156,6 +156,10 @@
             .or_insert_with(|| Promised { voice: voice.clone(), accepted: accepted.clone() });
         crate::quorum::hear(&mut held.voice, voice);
         held.accepted = held.accepted.take().max(accepted.clone());
+        let voices = promises.iter().map(|(member, promised)| (*member, &promised.voice));
+        for (member, known) in crate::quorum::outdated(voices) {
+            out.send(member, &Message::Outdated { known });
+        }
         if rules.count(promises.iter().map(|(member, promised)| (*member, &promised.voice))) < majority {
             return;
         }
--- a/council/src/quorum.rs
+++ b/council/src/quorum.rs
@@ -18,6 +18,16 @@
         .collect()
 }
 
+/// Whose memory another knows a later one of, and which. Told of it, one that is sound raises its number. Symptom
+/// without that: a number kept by a recovery that was cut off makes a sound councillor count nowhere, for ever.
+pub fn outdated<'a>(voices: impl Iterator<Item = (MemberId, &'a Voice)> + Clone) -> Vec<(MemberId, Memory)> {
+    let known = known(voices.clone().map(|(_, voice)| voice));
+    let later = |(member, voice): (MemberId, &Voice)| {
+        known.get(&member).filter(|known| **known > voice.memory).map(|known| (member, *known))
+    };
+    voices.filter_map(later).collect()
+}
+
 /// The latest memory of each that any of them knows.
 pub fn known<'a>(voices: impl Iterator<Item = &'a Voice>) -> Memories {
     let mut known = BTreeMap::new();
--- a/council/src/recovery.rs
+++ b/council/src/recovery.rs
@@ -45,6 +45,9 @@
         if !acceptor.idle() {
             return;
         }
+        for (member, known) in quorum::outdated(self.voices()) {
+            out.send(member, &Message::Outdated { known });
+        }
         // One that has lost its memory since it answered is asked anew.
         let agreeing = quorum::agreeing(self.voices());
         self.heard.retain(|member, heard| !heard.done || agreeing.contains(member));
--- a/council/src/tests/judge.rs
+++ b/council/src/tests/judge.rs
@@ -73,3 +73,15 @@
         self.answers.push((number, outcome.clone()));
     }
 }
+
+/// Stores as after a founding.
+pub fn founded(members: &[MemberId]) -> BTreeMap<MemberId, Stored> {
+    let roll: Memories = members.iter().map(|member| (*member, Memory(member.0))).collect();
+    let stored = |member: &MemberId| Stored {
+        sound: true,
+        roll: Some(roll.clone()),
+        known: roll.clone(),
+        ..Stored::new(Memory(member.0))
+    };
+    members.iter().map(|member| (*member, stored(member))).collect()
+}
--- a/council/src/tests/plain.rs
+++ b/council/src/tests/plain.rs
@@ -186,3 +186,30 @@
     println!("4 followers of 250 keys each know all 1,000 after {turns} turns and {bytes} bytes");
     assert_eq!(followers[0].values().len(), 1000);
 }
+
+/// 2 knows a number of 1 from a recovery that was cut off; 1 is told and stands under a greater one from then on.
+#[test]
+fn a_sound_councillor_that_counts_nowhere_is_told_and_raises_its_number() {
+    let terms = Terms::new(MemberId(3), Life(3), &members(), 1);
+    let (mut proposer, mut heap) = (Proposer::new(terms), Heap::default());
+    let request = RequestId { member: MemberId(9), life: Life(9), number: 7 };
+    let job = Job { request, reply: MemberId(9), change: Change::Read, until: Ms(9e3) };
+    proposer.propose(Ms(0.0), KEY, job, &mut heap);
+    let Some((_, Message::Prepare { ballot, .. })) = heap.sent.first().cloned() else { panic!("no round") };
+    for (member, known) in [(1, vec![]), (2, vec![(1, 6)])] {
+        let promise = Message::Promise { key: KEY, ballot, accepted: None, voice: voice(&known) };
+        proposer.message(Ms(1.0), MemberId(member), &promise, &mut heap);
+    }
+    let told = Message::Outdated { known: Memory(6) };
+    assert_eq!(heap.sent.last(), Some(&(MemberId(1), told.clone())));
+    let stored = Stored { sound: true, ..Stored::new(Memory(5)) };
+    let mut councillor = Councillor::born(Ms(0.0), Terms::new(MemberId(1), Life(1), &members(), 1), stored);
+    for known in [told, Message::Outdated { known: Memory(4) }] {
+        councillor.message(Ms(0.0), MemberId(3), &known, &Open, &mut heap);
+    }
+    assert_eq!(
+        heap.keeps.last().map(|(_, records)| records.clone()),
+        Some(vec![Record::Mine(Memory(1 << 48 | 5))])
+    );
+    assert!(councillor.sound() && heap.keeps.len() == 1);
+}
