--- a/members/src/apply.rs
+++ b/members/src/apply.rs
@@ -16,6 +16,11 @@
 
 impl Members {
     pub(crate) fn apply(&mut self, now: Ms, news: &News, in_page: bool, out: &mut dyn Wishes) {
+        // Guards against pages that do not fit a datagram: names are passed on as they come.
+        if news.place.as_ref().is_some_and(|place| place.name.len() > 32 || place.site.len() > 32) {
+            self.figures.strays += 1;
+            return;
+        }
         if news.about == self.terms.me.id {
             return self.told_of_me(now, news, out);
         }
@@ -91,7 +96,7 @@
     /// The dead are taken in as well: each that knows them can call them.
     fn newcomer(&mut self, now: Ms, news: &News, in_page: bool, out: &mut dyn Wishes) {
         let Some(place) = &news.place else { return };
-        if self.peers.len() >= self.terms.most_members || place.name.len() > 32 || place.site.len() > 32 {
+        if self.peers.len() >= self.terms.most_members {
             self.figures.strays += 1;
             return;
         }
--- a/members/src/hearing.rs
+++ b/members/src/hearing.rs
@@ -1,7 +1,7 @@
 //! Who hears whom, between this member and each other: set by what a probe brought, or a datagram.
 
 use crate::ids::MemberId;
-use crate::machine::Members;
+use crate::machine::{Members, LONGEST_RIDER};
 use crate::message::{Message, Sender, State};
 use crate::view::{Change, Hearing, Wishes};
 use ottersail::time::Ms;
@@ -22,7 +22,7 @@
             return;
         }
         peer.heard = now;
-        for rider in &message.riders {
+        for rider in message.riders.iter().filter(|rider| rider.bytes.len() <= LONGEST_RIDER) {
             if peer.known.riders.len() < 8 || peer.known.riders.contains_key(&rider.topic) {
                 peer.known.riders.insert(rider.topic, rider.bytes.clone());
             }
--- a/members/src/machine.rs
+++ b/members/src/machine.rs
@@ -16,7 +16,7 @@
 /// The longest message of an upper layer, in bytes.
 const LONGEST_TELL: usize = 900;
 /// The longest rider, in bytes, and how many are carried.
-const LONGEST_RIDER: usize = 64;
+pub(crate) const LONGEST_RIDER: usize = 64;
 const MOST_RIDERS: usize = 4;
 
 /// One member's view of all members.
