--- a/src/brain.rs
+++ b/src/brain.rs
@@ -113,11 +113,6 @@
         self.settle(out);
     }
 
-    /// From now on this manager's part is these slots, of so many that all managers hold together.
-    pub fn part(&mut self, slots: &[u64], of: f64) {
-        (self.slots, self.terms.managers) = (slots.to_vec(), of);
-    }
-
     pub fn preexisting(&mut self, now: Ms, wish: Wish, server: ServerId, out: Out) {
         self.now = now;
         // A manager that takes viewings over did not restart: what it was told of starts is whole.
--- a/src/brain/limits.rs
+++ b/src/brain/limits.rs
@@ -3,6 +3,11 @@
 use super::*;
 
 impl Brain {
+    /// From now on this manager's part is these slots, of so many that all managers hold together.
+    pub fn part(&mut self, slots: &[u64], of: f64) {
+        (self.slots, self.terms.managers) = (slots.to_vec(), of);
+    }
+
     /// This manager's part of what all managers share.
     pub(super) fn share(&self) -> f64 {
         self.slots.len() as f64 / self.terms.managers.max(1.0)
