The council explored: a round tried again finds its own change, and the guard for it taken out

Need: `once` was not explored, for want of bells. Change: councillors may be rung while sound in one world.

--- a/explore/tests/council_model.rs
+++ b/explore/tests/council_model.rs
@@ -23,6 +23,7 @@
         crashing: vec![],
         synced_at_once: true,
         word: false,
+        tries_again: false,
     }
 }
 
@@ -57,6 +58,11 @@
     Setting { crashing: vec![0, 1, 2], bells: [1; 3], ..wiped() }
 }
 
+/// 0 rings as often as that, and tries its round again; it hears nothing of 1.
+fn again(bells: u8) -> Setting {
+    Setting { tries_again: true, bells: [bells, 0, 0], cuts: vec![(0, 1)], ..duel() }
+}
+
 /// 2 crashes, and its disk is not done at once.
 fn crash() -> Setting {
     let faults = Faults { crash: 1, ..Faults::default() };
@@ -80,6 +86,7 @@
 #[test_case(|it| it.abstain = false, wiped(), 12; "abstain")]
 #[test_case(|it| it.recovery_majority = false, wiped(), 15; "recovery_majority")]
 #[test_case(|it| it.kept_first = false, crash(), 12; "kept_first")]
+#[test_case(|it| it.once = false, again(2), 8; "once")]
 #[test_case(|it| it.newer = false, word(), 12; "newer")]
 fn without_a_guard_what_is_chosen_does_not_hold(takes_out: fn(&mut Guards), setting: Setting, length: usize) {
     let mut guards = Guards::ALL;
@@ -94,6 +101,7 @@
 #[test_case(&wiped(); "wiped")]
 #[test_case(&crash(); "crash")]
 #[test_case(&word(); "word")]
+#[test_case(&again(2); "again")]
 #[test_case(&wiped_any(); "any wiped")]
 fn with_all_guards_it_holds(setting: &Setting) {
     assert_eq!(search(setting).covered(), Ok(()));
--- a/explore/tests/registers/mod.rs
+++ b/explore/tests/registers/mod.rs
@@ -35,6 +35,7 @@
     pub crashing: Vec<usize>,
     pub synced_at_once: bool,
     pub word: bool,
+    pub tries_again: bool,
 }
 
 impl Registers {
@@ -43,6 +44,7 @@
             let (asks, bells) = (&setting.asks[me], setting.bells[me]);
             let mut node = Node::founded(me, asks, bells, setting.guards, setting.synced_at_once);
             node.word = setting.word;
+            node.tries_again = setting.tries_again;
             node
         };
         let nodes = (0..node::COUNCIL).map(node).collect();
@@ -74,6 +76,10 @@
             }
             Told::Chosen(value) => self.is_chosen(value),
             Told::Answered(number, outcome) => {
+                if matches!(&outcome, Outcome::Now(Some(it)) if it.by.member == node::id(by) && it.by.number == number)
+                {
+                    self.wrong = Some(format!("{by} is told that its own change {number} came too late"));
+                }
                 let now = match outcome {
                     Outcome::Done(value) | Outcome::Now(Some(value)) => Some(value),
                     Outcome::Now(None) => None,
--- a/explore/tests/registers/node.rs
+++ b/explore/tests/registers/node.rs
@@ -52,6 +52,8 @@
     at_once: bool,
     /// Whether word of what was chosen gets through; it serves no safety.
     pub word: bool,
+    /// Whether bells are rung while it is sound, too: rounds and requests are tried again.
+    pub tries_again: bool,
     asks: VecDeque<Change>,
     number: u64,
     bells: u8,
@@ -99,7 +101,7 @@
         let council = Councillor::born(Ms(0.0), terms(me, 1), disk.clone());
         let asks = asks.iter().cloned().collect();
         let (unsynced, told) = (VecDeque::new(), vec![]);
-        let (number, now, wipes, word, print) = (0, 0, 0, false, 0);
+        let (number, now, wipes, word, tries_again, print) = (0, 0, 0, false, false, 0);
         let mut node = Node {
             me,
             council,
@@ -108,6 +110,7 @@
             unsynced,
             at_once,
             word,
+            tries_again,
             asks,
             number,
             bells,
@@ -187,8 +190,8 @@
 
     fn acts(&self, _: u32) -> Vec<Does> {
         let ask = self.asks.front().cloned().map(Does::Ask);
-        // Bells are for recovering here: what a sound one does by them, it may do at any time.
-        let rings = self.bells > 0 && !self.council.sound();
+        // Else bells are for recovering only.
+        let rings = self.bells > 0 && (self.tries_again || !self.council.sound());
         let sync = (!self.unsynced.is_empty()).then_some(Does::Sync);
         ask.into_iter().chain(rings.then_some(Does::Bell)).chain(sync).collect()
     }
