--- a/explore/tests/registers/mod.rs
+++ b/explore/tests/registers/mod.rs
@@ -1,4 +1,4 @@
-//! Three councillors with one register, and two that propose.
+//! Three or five councillors with one register, and two or three that propose.
 
 pub mod node;
 
@@ -6,7 +6,7 @@
 use std::hash::{Hash, Hasher};
 
 use node::{Node, Told};
-use ottersail_council::{Change, Guards, Outcome, Value};
+use ottersail_council::{Change, Guards, Message, Outcome, Value};
 use ottersail_explore::net::{Faults, Net, NetStep};
 use ottersail_explore::{print_of, World};
 
@@ -17,7 +17,7 @@
     chosen: BTreeMap<u64, Value>,
     /// The newest that had been told when each request was asked.
     floors: BTreeMap<(usize, u64), u64>,
-    follows: [u64; node::COUNCIL],
+    follows: Vec<u64>,
     wrong: Option<String>,
     crashing: Vec<usize>,
 }
@@ -27,8 +27,8 @@
 pub struct Setting {
     pub guards: Guards,
     pub faults: Faults,
-    pub asks: [Vec<Change>; node::COUNCIL],
-    pub bells: [u8; node::COUNCIL],
+    pub asks: Vec<Vec<Change>>,
+    pub bells: Vec<u8>,
     /// Ways cut from the first to the last step.
     pub cuts: Vec<(usize, usize)>,
     /// Who may crash.
@@ -40,21 +40,22 @@
 
 impl Registers {
     pub fn new(setting: &Setting) -> Registers {
+        let size = setting.asks.len();
         let node = |me: usize| {
             let (asks, bells) = (&setting.asks[me], setting.bells[me]);
-            let mut node = Node::founded(me, asks, bells, setting.guards, setting.synced_at_once);
+            let mut node = Node::founded((me, size), asks, bells, setting.guards, setting.synced_at_once);
             node.word = setting.word;
             node.tries_again = setting.tries_again;
             node
         };
-        let nodes = (0..node::COUNCIL).map(node).collect();
+        let nodes = (0..size).map(node).collect();
         let mut net = Net::new(nodes, setting.faults, vec![]);
         net.cuts = setting.cuts.iter().copied().collect();
         Registers {
             net,
             chosen: BTreeMap::new(),
             floors: BTreeMap::new(),
-            follows: [0; node::COUNCIL],
+            follows: vec![0; size],
             wrong: None,
             crashing: setting.crashing.clone(),
         }
@@ -76,8 +77,8 @@
             }
             Told::Chosen(value) => self.is_chosen(value),
             Told::Answered(number, outcome) => {
-                if matches!(&outcome, Outcome::Now(Some(it)) if it.by.member == node::id(by) && it.by.number == number)
-                {
+                let own = |it: &Value| it.by.member == node::id(by) && it.by.number == number;
+                if matches!(&outcome, Outcome::Now(Some(it)) if own(it)) {
                     self.wrong = Some(format!("{by} is told that its own change {number} came too late"));
                 }
                 let now = match outcome {
@@ -122,6 +123,12 @@
     fn steps(&self) -> Vec<NetStep<Node>> {
         let mut steps = self.net.steps();
         steps.retain(|step| matches!(step, NetStep::Restart(..)) || self.may_go(step));
+        // What one that recovers is told was fixed when it was sent, and until it has recovered it hears
+        // nothing else: told at once, it only takes part earlier.
+        let told = |step: &NetStep<Node>| matches!(step, NetStep::Deliver(_, _, Message::Recovered { .. }));
+        if let Some(first) = steps.iter().position(told) {
+            return vec![steps.swap_remove(first)];
+        }
         let starts = steps.iter().filter(|step| matches!(step, NetStep::Restart(..))).count();
         if starts > 0 {
             steps.retain(|step| matches!(step, NetStep::Restart(..)));
@@ -133,7 +140,7 @@
 
     fn take(&mut self, step: &NetStep<Node>) {
         self.net.take(step);
-        for by in 0..node::COUNCIL {
+        for by in 0..self.follows.len() {
             for told in self.net.spots[by].machine.told() {
                 self.judge(by, told);
             }
@@ -155,6 +162,6 @@
 
 impl Hash for Registers {
     fn hash<H: Hasher>(&self, into: &mut H) {
-        (&self.net, &self.chosen, &self.floors, self.follows).hash(into);
+        (&self.net, &self.chosen, &self.floors, &self.follows).hash(into);
     }
 }
--- a/explore/tests/registers/node.rs
+++ b/explore/tests/registers/node.rs
@@ -14,7 +14,6 @@
 use ottersail_members::{Life, MemberId};
 
 pub const KEY: Key = Key::Order(0);
-pub const COUNCIL: usize = 3;
 
 pub fn id(node: usize) -> MemberId {
     MemberId(node as u64 + 1)
@@ -44,6 +43,7 @@
 #[derive(Clone)]
 pub struct Node {
     me: usize,
+    size: usize,
     council: Councillor,
     guards: Guards,
     disk: Stored,
@@ -86,24 +86,31 @@
     }
 }
 
-fn terms(me: usize, life: u64) -> Terms {
-    let all: Vec<MemberId> = (0..COUNCIL).map(id).collect();
+fn terms(me: usize, life: u64, size: usize) -> Terms {
+    let all: Vec<MemberId> = (0..size).map(id).collect();
     Terms::new(id(me), Life(life), &all, 1)
 }
 
 impl Node {
     /// Sound from the founding on, and asking itself first.
-    pub fn founded(me: usize, asks: &[Change], bells: u8, guards: Guards, at_once: bool) -> Node {
+    pub fn founded(
+        (me, size): (usize, usize),
+        asks: &[Change],
+        bells: u8,
+        guards: Guards,
+        at_once: bool,
+    ) -> Node {
         let memory = |node: usize| Memory::drawn(100 + node as u64);
-        let roll = (0..COUNCIL).map(|node| (id(node), memory(node))).collect();
-        let known = (0..COUNCIL).filter(|node| *node != me).map(|node| (id(node), memory(node))).collect();
+        let roll = (0..size).map(|node| (id(node), memory(node))).collect();
+        let known = (0..size).filter(|node| *node != me).map(|node| (id(node), memory(node))).collect();
         let disk = Stored { memory: memory(me), sound: true, roll: Some(roll), known, ..Stored::default() };
-        let council = Councillor::born(Ms(0.0), terms(me, 1), disk.clone());
+        let council = Councillor::born(Ms(0.0), terms(me, 1, size), disk.clone());
         let asks = asks.iter().cloned().collect();
         let (unsynced, told) = (VecDeque::new(), vec![]);
         let (number, now, wipes, word, tries_again, print) = (0, 0, 0, false, false, 0);
         let mut node = Node {
             me,
+            size,
             council,
             guards,
             disk,
@@ -228,7 +235,7 @@
             self.disk = Stored::new(Memory::drawn(1000 * self.wipes + self.me as u64));
         }
         let now = Ms(f64::from(self.now));
-        self.council = Councillor::born(now, terms(self.me, 2 + self.wipes), self.disk.clone());
+        self.council = Councillor::born(now, terms(self.me, 2 + self.wipes, self.size), self.disk.clone());
         self.begin();
     }
 
