--- a/parts/src/holder.rs
+++ b/parts/src/holder.rs
@@ -13,6 +13,9 @@
 mod change;
 mod lease;
 
+/// An odd number whose multiples fill all bits (the golden ratio's).
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// What a member may act on: `slots` of `of`, until that time of its own clock and not a moment longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Part {
@@ -74,6 +77,8 @@
     /// The bucket that the council was last asked about, and when.
     asked: Option<(BucketNo, At)>,
     act_at: At,
+    /// What was asked is a further look where all was full.
+    looked: bool,
     tries: u32,
     wanted: u16,
     alive: BTreeMap<MemberId, Life>,
@@ -94,10 +99,12 @@
             renew_at: At(now),
             asked: None,
             act_at: At(now),
+            looked: false,
             tries: 0,
             wanted: 0,
             alive: BTreeMap::new(),
-            chance: seed | 1,
+            // Members that were given seeds in a row must not all turn to the same register.
+            chance: seed ^ me.0 .0.wrapping_add(me.1 .0).wrapping_mul(SPREAD) | 1,
         }
     }
 
@@ -114,6 +121,11 @@
         self.slots.get(&slot).is_some_and(|it| self.counts(now, it))
     }
 
+    /// The slots behind [`Holder::holds`]; members who take turns take them by these.
+    pub fn slots(&self, now: Ms) -> impl Iterator<Item = Slot> + '_ {
+        self.slots.iter().filter(move |it| self.counts(now, it.1)).map(|it| *it.0)
+    }
+
     fn counts(&self, now: Ms, mine: &Mine) -> bool {
         let in_time = if self.terms.guards.until() { At(now) < mine.until } else { mine.until > At::NEVER };
         in_time && !(mine.stopping && self.terms.guards.stop_first())
@@ -167,7 +179,8 @@
         self.bell(now, out);
     }
 
-    /// What stands in a register, learned by following or by an answer.
+    /// What stands in a register, learned by following or by an answer. Only what is chosen may be told here:
+    /// a councillor grants epochs that it has not accepted itself yet.
     ///
     /// # Errors
     /// [`PartsError::Body`]; nothing is changed then.
