Settings: [members], off unless told, with keys that check reads

Managers that are to know one another as members need a name, a cluster, an address for datagrams, seeds and keys. The section is read by a module of its own, told in the list of sections; RunError names a keys' file or an address that can't be had.

--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -13,6 +13,8 @@
     Settings(#[from] SettingsError),
     #[error("{}: {why}; [manager] keys names the file: a name and a base64 secret a line", file.display())]
     Keys { file: PathBuf, why: String },
+    #[error("{}: {why}; [members] keys names the file: a name and a base64 secret a line", file.display())]
+    MemberKeys { file: PathBuf, why: String },
     #[error("{}: no record can be begun: {why}; give --record a file that can be written", file.display())]
     Record { file: PathBuf, why: io::Error },
     #[error(
@@ -27,6 +29,8 @@
     Address { address: String, why: AddrParseError },
     #[error("{address}: {why}; is another one running? Else choose another address for [manager] listen")]
     Listen { address: SocketAddr, why: io::Error },
+    #[error("{address}: no datagrams: {why}; is another one running? Else choose another [members] listen")]
+    Datagrams { address: SocketAddr, why: io::Error },
     #[error("{address}: connections can't be watched: {why}; raise the limit on open files (ulimit -n)")]
     Watch { address: SocketAddr, why: io::Error },
     #[error(
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -9,6 +9,7 @@
 use crate::post::Errand;
 use crate::settings::load;
 use crate::settings::manager::{read_manager, Manager};
+use crate::settings::members::Members;
 use async_signal::{Signal as Heard, Signals};
 use futures_lite::StreamExt;
 pub use nothing::NoOrders;
@@ -40,9 +41,20 @@
     let wrong = |why: String| RunError::Keys { file: manager.keys.clone(), why };
     let keys = std::fs::read_to_string(&manager.keys).map_err(|it| wrong(it.to_string()))?;
     let keys = Keys::read(&keys).map_err(|it| wrong(it.to_string()))?;
+    manager.members.as_ref().map(member_keys).transpose()?;
     Ok((text, manager, keys))
 }
 
+/// The keys that members sign with.
+///
+/// # Errors
+/// If the file can't be read, or holds no keys.
+pub fn member_keys(members: &Members) -> Result<Keys, RunError> {
+    let wrong = |why: String| RunError::MemberKeys { file: members.keys.clone(), why };
+    let text = std::fs::read_to_string(&members.keys).map_err(|it| wrong(it.to_string()))?;
+    Keys::read(&text).map_err(|it| wrong(it.to_string()))
+}
+
 pub fn house(manager: &Manager, keys: Keys) -> House {
     House {
         url: manager.url.clone(),
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -2,6 +2,7 @@
 
 use super::error::SettingsError;
 use super::links::{links, Links};
+use super::members::{members, Members};
 use super::sheet::{Section, Sheet};
 use super::terms::terms;
 use ottersail::terms::Terms;
@@ -21,6 +22,8 @@
     /// Threads that hold connections; the first owns placement too.
     pub cores: usize,
     pub links: Links,
+    /// Off unless told.
+    pub members: Option<Members>,
 }
 
 /// Reads a manager's file.
@@ -51,6 +54,7 @@
         connections: me.whole_or("connections", 1..=1_000_000, 8_000) as usize,
         cores: cores(&me),
         links: links(sheet),
+        members: members(sheet, folder, number),
         terms,
         listen,
     };
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod fault;
 pub mod links;
 pub mod manager;
+pub mod members;
 mod package;
 pub mod sections;
 pub mod sheet;
--- a/daemon/src/settings/sections.rs
+++ b/daemon/src/settings/sections.rs
@@ -16,6 +16,7 @@
     ("manager", In::Manager, "manager"),
     ("list", In::Manager, "links"),
     ("servers", In::Manager, "links"),
+    ("members", In::Manager, "members"),
     ("ladder", In::Both, "terms"),
     ("rules", In::Both, "terms"),
     ("package NAME", In::Both, "package"),
--- a/daemon/tests/errors.rs
+++ b/daemon/tests/errors.rs
@@ -113,6 +113,8 @@
     let bad = || "x".parse::<SocketAddr>().unwrap_err();
     table!(RunError:
         Keys { file: file(), why: text(CAUSE) } => [FILE, "[manager] keys"], true;
+        MemberKeys { file: file(), why: text(CAUSE) } => [FILE, "[members] keys"], true;
+        Datagrams { address: at(), why: why() } => ["127.0.0.9:8123", "[members] listen"], true;
         Record { file: file(), why: why() } => [FILE, "--record"], true;
         ParentUnheard { why: why() } => ["--with-parent"], true;
         ParentGone {} => ["--with-parent"], false;
