Members in the daemon: a socket, the machine and its gate on the owner's executor

Managers are to know which others live. With [members], run opens one socket for datagrams on the owner's executor and carries bytes, time and wishes between it, ottersail-members and its gate; the second way asks the member's own HTTP address, which it tells as a rider. Changes are log lines (target members), figures stand on /metrics, SIGTERM tells leave. A flood gets 32 datagrams a millisecond and no more. Without [members] nothing is opened; a node holds no datagram socket and one thread.

Not seen yet: members that talk.

--- /dev/null
+++ b/daemon/src/fleet.rs
@@ -0,0 +1,218 @@
+//! Members: a task on the owner's executor with one socket for datagrams, the machine of `ottersail-members`
+//! and its gate. It carries bytes, time and wishes between them; nothing is decided here.
+
+mod book;
+mod door;
+mod figures;
+mod hands;
+mod lines;
+
+use crate::error::RunError;
+use crate::run::member_keys;
+use crate::settings::manager::Manager;
+use async_channel::{Receiver, Sender};
+use book::Book;
+use door::{knock, Door, Knocks};
+use hands::Hands;
+use ottersail_members::gate::{Gate, Opened};
+use ottersail_members::{Address, DialTag, Life, Me, MemberId, Members, Message, Sender as From, Terms};
+use ottersail_net::{Datagrams, Exec, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+use tracing::info;
+
+/// Datagrams taken in a row, and the rest after it. Guards viewers, whose requests wait on the same thread:
+/// a flood takes a few hundredths of it, and the system drops what comes past that.
+const AT_ONCE: usize = 32;
+const REST: Duration = Duration::from_millis(1);
+/// One byte more than a datagram may have, so that a longer one is seen as such.
+const ROOM: usize = ottersail_members::gate::LONGEST + 1;
+
+pub struct Fleet {
+    me: Weak<Fleet>,
+    exec: Exec,
+    began: Instant,
+    name: String,
+    socket: Datagrams,
+    members: RefCell<Members>,
+    gate: RefCell<Gate>,
+    book: RefCell<Book>,
+    knocks: Knocks,
+    period: Duration,
+    armed: Cell<f64>,
+    rearm: (Sender<()>, Receiver<()>),
+    tally: figures::Tally,
+}
+
+/// Chance of the system's, that nobody can guess from outside.
+fn unguessed() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
+/// The machine's terms from the settings; `None` if they have no `[members]`.
+///
+/// # Errors
+/// What the machine would not take.
+pub fn terms(manager: &Manager, life: Life) -> Result<Option<Terms>, RunError> {
+    let Some(told) = &manager.members else {
+        return Ok(None);
+    };
+    let (name, site) = (told.name.clone(), manager.terms.zone.to_string());
+    let id = MemberId::of(&told.cluster, &name);
+    let mut terms = Terms::new(Me { name, id, life, address: told.advertise, site }, told.seeds.clone());
+    terms.period = told.period;
+    terms.check()?;
+    Ok(Some(terms))
+}
+
+impl Fleet {
+    /// Starts the tasks; `None` without `[members]`: then nothing is opened at all.
+    ///
+    /// # Errors
+    /// If the address can't be had, or the keys.
+    pub fn start(exec: Exec, seed: u64, manager: &Manager) -> Result<Option<Rc<Fleet>>, RunError> {
+        let life = Life(unguessed());
+        let (Some(told), Some(terms)) = (&manager.members, terms(manager, life)?) else {
+            return Ok(None);
+        };
+        let address = SocketAddr::V4(told.listen);
+        let socket = Datagrams::bind(address).map_err(|why| RunError::Datagrams { address, why })?;
+        let gate = Gate::new(terms.me.id, life, &told.cluster, member_keys(told)?, unguessed());
+        let (id, name) = (terms.me.id, told.name.clone());
+        let mut members = Members::born(ottersail::time::Ms(0.0), seed, terms);
+        if let Some(door) = Door::of(&manager.listen, told.advertise) {
+            members.carry(door::TOPIC, &door.bytes());
+        }
+        let fleet = Rc::new_cyclic(|me| Fleet {
+            me: me.clone(),
+            exec,
+            began: Instant::now(),
+            name: name.clone(),
+            socket,
+            members: RefCell::new(members),
+            gate: RefCell::new(gate),
+            book: RefCell::default(),
+            knocks: Knocks::default(),
+            period: Duration::from_secs_f64(told.period.0 / 1e3),
+            armed: Cell::new(f64::INFINITY),
+            rearm: async_channel::bounded(1),
+            tally: figures::Tally::default(),
+        });
+        info!(target: "members", name, %id, %life, listen = %told.listen, cluster = told.cluster, "member");
+        exec.spawn(fleet.clone().listen()).detach();
+        exec.spawn(fleet.clone().ring()).detach();
+        Ok(Some(fleet))
+    }
+
+    /// Milliseconds of this process's own monotonic clock.
+    fn now(&self) -> ottersail::time::Ms {
+        ottersail::time::Ms(self.began.elapsed().as_secs_f64() * 1e3)
+    }
+
+    /// One input of the machine, and what it wishes.
+    fn told(&self, partner: Option<(Address, MemberId)>, input: impl FnOnce(&mut Members, &mut Hands)) {
+        let mut hands = Hands { fleet: self, partner, dials: Vec::new(), changed: false };
+        let mut members = self.members.borrow_mut();
+        input(&mut members, &mut hands);
+        let Hands { dials, changed, .. } = hands;
+        if changed {
+            self.book.borrow_mut().read(members.roster());
+        }
+        let due = members.bell_at().0;
+        drop(members);
+        dials.into_iter().for_each(|(to, tag)| self.dial(to, tag));
+        if due < self.armed.get() {
+            _ = self.rearm.0.try_send(());
+        }
+    }
+
+    async fn listen(self: Rc<Fleet>) {
+        let mut bytes = [0; ROOM];
+        let mut in_a_row = 0;
+        loop {
+            let heard = self.socket.receive(&mut bytes).await;
+            match heard {
+                Ok((count, SocketAddr::V4(from))) => self.heard(from, &bytes[..count]),
+                // What the system tells of earlier sends, such as a port that nobody holds.
+                Ok(_) | Err(_) => self.tally.odd.set(self.tally.odd.get() + 1),
+            }
+            in_a_row += 1;
+            if in_a_row >= AT_ONCE {
+                in_a_row = 0;
+                Timer::after(REST).await;
+            }
+        }
+    }
+
+    fn heard(&self, from: Address, bytes: &[u8]) {
+        self.tally.taken(bytes.len());
+        let now = self.now();
+        let opened = self.gate.borrow_mut().open::<Message>(now, bytes);
+        match opened {
+            Opened::Message { from: id, life, message } => {
+                let sender = From { id, life, address: from };
+                self.told(Some((from, id)), |it, out| it.message(now, sender, message, out));
+            }
+            Opened::Challenge(reply) | Opened::Resend(reply) => self.send(&reply, from),
+            Opened::Dropped(_) => {}
+        }
+    }
+
+    fn send(&self, bytes: &[u8], to: Address) {
+        self.tally.sent(bytes.len());
+        self.socket.send(bytes, to.into());
+    }
+
+    /// Rings when the machine wants to be rung.
+    async fn ring(self: Rc<Fleet>) {
+        loop {
+            let due = self.members.borrow().bell_at();
+            self.armed.set(due.0);
+            let at = self.began + Duration::from_secs_f64(due.0.clamp(0.0, 1e12) / 1e3);
+            futures_lite::future::or(Timer::at(at), async {
+                _ = self.rearm.1.recv().await;
+            })
+            .await;
+            let now = self.now();
+            if self.members.borrow().bell_at() <= now {
+                self.told(None, |it, out| it.bell(now, out));
+            }
+            // Other tasks have their turn between two rings, however many are due.
+            futures_lite::future::yield_now().await;
+        }
+    }
+
+    /// The second way: the member's own HTTP address. No answer within a period is none.
+    fn dial(&self, to: Address, tag: DialTag) {
+        let door = self.book.borrow().id(to).and_then(|id| Door::read(self.members.borrow().roster(), id));
+        let (Some(door), Some(held)) = (door, self.knocks.one_more()) else {
+            return self.dialled(tag, false);
+        };
+        let Some(fleet) = self.me.upgrade() else {
+            return;
+        };
+        let period = self.period;
+        let task = async move {
+            let up = knock(door, period).await;
+            drop(held);
+            fleet.dialled(tag, up);
+        };
+        self.exec.spawn(task).detach();
+    }
+
+    fn dialled(&self, tag: DialTag, up: bool) {
+        let now = self.now();
+        self.told(None, |it, out| it.dialled(now, tag, up, out));
+    }
+
+    /// Tells the others that this one goes.
+    pub fn leave(&self) {
+        let now = self.now();
+        self.told(None, |it, out| it.leave(now, out));
+        info!(target: "members", name = self.name, "left");
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/figures.rs
@@ -0,0 +1,112 @@
+//! The members' part of the page of figures.
+
+use super::{lines, Fleet};
+use ottersail_members::gate::Why;
+use ottersail_members::{Figures, Hearing, State};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::cell::Cell;
+
+type Of = Vec<(&'static str, String)>;
+
+const STATES: [State; 4] = [State::Alive, State::Suspect, State::Dead, State::Left];
+const HEARINGS: [Hearing; 5] =
+    [Hearing::Both, Hearing::OnlyIHear, Hearing::OnlyHeard, Hearing::ByOthers, Hearing::Nobody];
+
+/// What went over the socket.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    datagrams: [Cell<u64>; 2],
+    bytes: [Cell<u64>; 2],
+    /// Messages that could not be sealed.
+    pub unsealed: Cell<u64>,
+    /// Errors of the system's in place of a datagram.
+    pub odd: Cell<u64>,
+}
+
+fn more(of: &Cell<u64>, by: u64) {
+    of.set(of.get().wrapping_add(by));
+}
+
+impl Tally {
+    pub fn taken(&self, bytes: usize) {
+        self.went(0, bytes);
+    }
+
+    pub fn sent(&self, bytes: usize) {
+        self.went(1, bytes);
+    }
+
+    fn went(&self, way: usize, bytes: usize) {
+        more(&self.datagrams[way], 1);
+        more(&self.bytes[way], bytes as u64);
+    }
+}
+
+fn gauge(of: &Family<Of, Gauge>, labels: Of, value: u64) {
+    of.get_or_create(&labels).set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
+fn count(of: &Family<Of, Counter>, labels: Of, value: u64) {
+    of.get_or_create(&labels).inc_by(value);
+}
+
+impl Fleet {
+    /// Puts the members' figures beside the others.
+    pub fn register(&self, registry: &mut Registry) {
+        let members = self.members.borrow();
+        let (by_state, by_hearing, each): (Family<Of, Gauge>, Family<Of, Gauge>, Family<Of, Gauge>) =
+            Default::default();
+        for state in STATES {
+            let count = members.roster().filter(|it| it.1.state == state).count() as u64;
+            gauge(&by_state, vec![("state", lines::state(state).into())], count);
+        }
+        let up = || members.roster().filter(|it| matches!(it.1.state, State::Alive | State::Suspect));
+        for hearing in HEARINGS {
+            let count = up().filter(|it| it.1.hearing == hearing).count() as u64;
+            gauge(&by_hearing, vec![("hearing", lines::hearing(hearing).into())], count);
+        }
+        for (_, known) in members.roster() {
+            let (state, hearing) = (lines::state(known.state).into(), lines::hearing(known.hearing).into());
+            gauge(&each, vec![("name", known.name.clone()), ("state", state), ("hearing", hearing)], 1);
+        }
+        registry.register("members", "Other members known, by state", by_state);
+        registry.register("members_heard", "Members not dead, by who hears whom", by_hearing);
+        registry.register("member", "Each other member: what is believed of it", each);
+        let (datagrams, bytes, dropped): (Family<Of, Counter>, Family<Of, Counter>, Family<Of, Counter>) =
+            Default::default();
+        for (way, name) in ["in", "out"].into_iter().enumerate() {
+            count(&datagrams, vec![("way", name.into())], self.tally.datagrams[way].get());
+            count(&bytes, vec![("way", name.into())], self.tally.bytes[way].get());
+        }
+        let gate = self.gate.borrow();
+        for why in Why::ALL {
+            count(&dropped, vec![("kind", why.name().into())], gate.dropped(why));
+        }
+        count(&dropped, vec![("kind", "odd".into())], self.tally.odd.get());
+        count(&dropped, vec![("kind", "unsealed".into())], self.tally.unsealed.get());
+        registry.register("member_datagrams", "Datagrams between members", datagrams);
+        registry.register("member_bytes", "Bytes of datagrams between members", bytes);
+        registry.register("member_datagrams_dropped", "Datagrams dropped, by kind", dropped);
+        let Figures { health, suspicions, refutations, burials, pauses, conflicts, dials, .. } =
+            members.figures();
+        let own: Gauge = Gauge::default();
+        own.set(i64::from(health));
+        registry.register("member_health", "Own health, from 0 (well) to 8", own);
+        let counts = [
+            ("member_suspicions", "Members suspected", suspicions),
+            ("member_refutations", "Times this member contradicted what was said of it", refutations),
+            ("member_burials", "Members believed dead", burials),
+            ("member_pauses", "Times this process stood still", pauses),
+            ("member_conflicts", "Times this name was found held by another", conflicts),
+            ("member_dials", "Members tried on the second way", dials),
+        ];
+        for (name, help, value) in counts {
+            let counter: Counter = Counter::default();
+            counter.inc_by(value);
+            registry.register(name, help, counter);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/hands.rs
@@ -0,0 +1,42 @@
+//! What the machine wishes.
+
+use super::{lines, Fleet};
+use ottersail_members::{Address, Change, DialTag, MemberId, Message, Topic, Wishes};
+use tracing::error;
+
+/// Sends at once; dials once the machine has come back, since their answers are inputs of it.
+pub(super) struct Hands<'a> {
+    pub fleet: &'a Fleet,
+    /// Who is being answered: the book may not know it yet.
+    pub partner: Option<(Address, MemberId)>,
+    pub dials: Vec<(Address, DialTag)>,
+    /// Addresses may be others' now.
+    pub changed: bool,
+}
+
+impl Wishes for Hands<'_> {
+    fn send(&mut self, to: Address, message: &Message) {
+        let partner = self.partner.filter(|it| it.0 == to).map(|it| it.1);
+        let id = partner.or_else(|| self.fleet.book.borrow().id(to));
+        let sealed = self.fleet.gate.borrow_mut().seal(id, message);
+        match sealed {
+            Ok(bytes) => self.fleet.send(&bytes, to),
+            Err(trouble) => {
+                self.fleet.tally.unsealed.set(self.fleet.tally.unsealed.get() + 1);
+                error!(target: "members", %trouble, %to, "a message could not be sent");
+            }
+        }
+    }
+
+    fn dial(&mut self, to: Address, tag: DialTag) {
+        self.dials.push((to, tag));
+    }
+
+    /// No layer above listens yet.
+    fn hear(&mut self, _: MemberId, _: Topic, _: &[u8]) {}
+
+    fn changed(&mut self, change: &Change) {
+        self.changed = true;
+        lines::write(change);
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! rehearsals.
 
 pub mod error;
+pub mod fleet;
 pub mod judged;
 pub mod metrics;
 pub mod node;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Figures in the usual text format.
 
+use crate::fleet::Fleet;
 use crate::post::Core;
 use ottersail_front::{Counts, Front, Reply};
 use prometheus_client::encoding::text::encode;
@@ -48,8 +49,17 @@
 }
 
 /// The page that is scraped.
-pub fn page(front: &Front, times: &Times, open: usize, turned_away: u64, cores: &[Arc<Core>]) -> String {
+pub fn page(
+    front: &Front,
+    times: &Times,
+    (open, turned_away): (usize, u64),
+    cores: &[Arc<Core>],
+    fleet: Option<&Fleet>,
+) -> String {
     let mut registry = Registry::with_prefix("ottersail");
+    if let Some(fleet) = fleet {
+        fleet.register(&mut registry);
+    }
     let Counts {
         asked,
         again,
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -4,6 +4,7 @@
 mod hands;
 mod record;
 
+use crate::fleet::Fleet;
 use crate::metrics::{page, Times};
 use crate::post::{Core, Errand, News, Slot};
 use async_channel::{Receiver, Sender};
@@ -14,7 +15,7 @@
 use ottersail_front::{AskId, Front, Ms};
 use ottersail_net::{slept, Clock, Server, Timer};
 pub use record::Tape;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -41,6 +42,8 @@
     rearm: (Sender<()>, Receiver<()>),
     times: Times,
     server: Arc<Server>,
+    /// The other members, if it has any; not known to the front yet.
+    pub fleet: OnceCell<Rc<Fleet>>,
     /// Time spent in the front so far.
     pub spent: Cell<Duration>,
 }
@@ -68,6 +71,7 @@
             rearm: async_channel::bounded(1),
             times,
             server,
+            fleet: OnceCell::new(),
             spent: Cell::default(),
         })
     }
@@ -80,7 +84,9 @@
                 News::Happened { told, slot } => self.happened(told, slot),
                 News::Page(to) => {
                     let (open, away) = (self.server.open(), self.server.turned_away());
-                    let text = self.front(|it| page(it, &self.times, open, away, &self.cores));
+                    let text = self.front(|it| {
+                        page(it, &self.times, (open, away), &self.cores, self.fleet.get().map(|it| &**it))
+                    });
                     _ = to.try_send(text);
                 }
             }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -5,6 +5,7 @@
 mod start;
 
 use crate::error::RunError;
+use crate::fleet::{self, Fleet};
 use crate::owner::Tape;
 use crate::post::Errand;
 use crate::settings::load;
@@ -17,6 +18,7 @@
 use ottersail_front::decisions::Decisions;
 use ottersail_front::tape::Told;
 use ottersail_front::{Answers, Front, House, Ms};
+use ottersail_members::Life;
 use ottersail_net::{block_on, executor, Clock, Timer};
 use ottersail_tickets::Keys;
 use process::end_with_parent;
@@ -42,6 +44,7 @@
     let keys = std::fs::read_to_string(&manager.keys).map_err(|it| wrong(it.to_string()))?;
     let keys = Keys::read(&keys).map_err(|it| wrong(it.to_string()))?;
     manager.members.as_ref().map(member_keys).transpose()?;
+    fleet::terms(&manager, Life(0))?;
     Ok((text, manager, keys))
 }
 
@@ -109,6 +112,9 @@
     let exec = executor();
     let running = start(exec, clock, &manager, keys, front, tape)?;
     let owner = running.owner.clone();
+    if let Some(fleet) = Fleet::start(exec, seed, &manager)? {
+        _ = owner.fleet.set(fleet);
+    }
     let (listen, cores) = (&manager.listen, manager.cores);
     info!(listen, cores, managers = manager.terms.managers, number = manager.terms.me.0, "running");
 
@@ -124,6 +130,9 @@
             }
         }
         owner.tell(&Told::Drain);
+        if let Some(fleet) = owner.fleet.get() {
+            fleet.leave();
+        }
         let done = async {
             while owner.front(|it| it.waiting()) > 0 {
                 Timer::after(Duration::from_millis(10)).await;
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -2,7 +2,7 @@
 
 use super::error::SettingsError;
 use super::links::{links, Links};
-use super::members::{members, Members};
+use super::members::{members, short, Members, LETTERS, LONGEST_NAME};
 use super::sheet::{Section, Sheet};
 use super::terms::terms;
 use ottersail::terms::Terms;
@@ -43,7 +43,15 @@
     if number >= managers {
         me.complain("number", format!("counts from 0 and must be under managers, {managers}"));
     }
-    let terms = terms(sheet, (number, managers, &me.text("zone")));
+    let members = members(sheet, folder, number);
+    let zone = me.text("zone");
+    if members.is_some() && !short(&zone) {
+        me.complain(
+            "zone",
+            format!("with [members] expected up to {LONGEST_NAME} of {LETTERS}, read {zone:?}"),
+        );
+    }
+    let terms = terms(sheet, (number, managers, &zone));
     let listen = me.address("listen");
     let manager = Manager {
         url: me.get("url").map_or_else(|| format!("http://{listen}"), str::to_string),
@@ -54,7 +62,7 @@
         connections: me.whole_or("connections", 1..=1_000_000, 8_000) as usize,
         cores: cores(&me),
         links: links(sheet),
-        members: members(sheet, folder, number),
+        members,
         terms,
         listen,
     };
--- a/daemon/src/settings/members.rs
+++ b/daemon/src/settings/members.rs
@@ -20,7 +20,8 @@
 }
 
 /// Names go over the wire and into logs: short, and of letters that need no care there.
-const LONGEST_NAME: usize = 32;
+pub(super) const LONGEST_NAME: usize = 32;
+pub(super) const LETTERS: &str = "a-z, 0-9 and -";
 /// Seeds are asked one after the other until one answers; more would tell nothing new.
 const MOST_SEEDS: usize = 32;
 const ADDRESS: &str = "an IPv4 address like 10.0.0.1:7946";
@@ -57,12 +58,17 @@
     })
 }
 
+/// Of those letters, and not too long.
+pub(super) fn short(text: &str) -> bool {
+    let plain = |it: char| it.is_ascii_lowercase() || it.is_ascii_digit() || it == '-';
+    text.len() <= LONGEST_NAME && text.chars().all(plain)
+}
+
 fn named(it: &Section, key: &str) -> String {
     let text = it.text(key);
-    let plain = |it: char| it.is_ascii_lowercase() || it.is_ascii_digit() || it == '-';
     // That it is missing has been told.
-    if !text.is_empty() && (text.len() > LONGEST_NAME || !text.chars().all(plain)) {
-        it.complain(key, format!("expected up to {LONGEST_NAME} of a-z, 0-9 and -, read {text:?}"));
+    if !short(&text) {
+        it.complain(key, format!("expected up to {LONGEST_NAME} of {LETTERS}, read {text:?}"));
     }
     text
 }
--- a/daemon/tests/node/main.rs
+++ b/daemon/tests/node/main.rs
@@ -44,6 +44,10 @@
         lines.map(str::to_string).collect()
     };
     let tcp = table("tcp", 9);
+    // Members are of `run` alone: a node has no datagrams and no thread for them.
+    let datagrams = [table("udp", 9), table("udp6", 9)].concat();
+    let ours = datagrams.iter().filter(|it| inodes.contains(it.as_str())).count();
+    assert_eq!((ours, std::fs::read_dir(proc.join("task")).unwrap().count()), (0, 1));
     let other: Vec<&&str> = inodes.iter().filter(|it| !tcp.iter().any(|tcp| tcp == **it)).collect();
     // The pair by which the signals' handler wakes the program: both ends are its own, and neither has a
     // name.
