Members between real processes: deaths, pauses, losses, cuts, names, a flood, restarts

Three to ten processes of the program with the rig's exchange between them, judged from their figures. A member that has not told its HTTP address yet is knocked at where its datagrams go; how many have told it stands on /metrics.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -188,8 +188,12 @@
 
     /// The second way: the member's own HTTP address. No answer within a period is none.
     fn dial(&self, to: Address, tag: DialTag) {
-        let door = self.book.borrow().id(to).and_then(|id| Door::read(self.members.borrow().roster(), id));
-        let (Some(door), Some(held)) = (door, self.knocks.one_more()) else {
+        let id = self.book.borrow().id(to);
+        let told =
+            id.and_then(|id| self.members.borrow().roster().find(|it| *it.0 == id).and_then(Door::read));
+        // One that has not told it yet may have both at one address.
+        let door = told.unwrap_or(Door::at(to));
+        let Some(held) = self.knocks.one_more() else {
             return self.dialled(tag, false);
         };
         let Some(fleet) = self.me.upgrade() else {
--- a/daemon/src/fleet/door.rs
+++ b/daemon/src/fleet/door.rs
@@ -32,12 +32,12 @@
         [a, b, c, d, high, low]
     }
 
+    pub fn at(address: Address) -> Door {
+        Door(address)
+    }
+
     /// What that member has told.
-    pub fn read<'a>(
-        mut roster: impl Iterator<Item = (&'a MemberId, &'a Known)>,
-        id: MemberId,
-    ) -> Option<Door> {
-        let (_, known) = roster.find(|it| *it.0 == id)?;
+    pub fn read((_, known): (&MemberId, &Known)) -> Option<Door> {
         let [a, b, c, d, high, low] = *<&[u8; 6]>::try_from(known.riders.get(&TOPIC)?.as_slice()).ok()?;
         let port = u16::from_be_bytes([high, low]);
         Some(Door(SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), port)))
--- a/daemon/src/fleet/figures.rs
+++ b/daemon/src/fleet/figures.rs
@@ -1,5 +1,6 @@
 //! The members' part of the page of figures.
 
+use super::door::Door;
 use super::{lines, Fleet};
 use ottersail_members::gate::Why;
 use ottersail_members::{Figures, Hearing, State};
@@ -72,6 +73,9 @@
             let (state, hearing) = (lines::state(known.state).into(), lines::hearing(known.hearing).into());
             gauge(&each, vec![("name", known.name.clone()), ("state", state), ("hearing", hearing)], 1);
         }
+        let doors: Gauge = Gauge::default();
+        doors.set(members.roster().filter_map(Door::read).count() as i64);
+        registry.register("member_doors", "Members whose HTTP address is known, for the second way", doors);
         registry.register("members", "Other members known, by state", by_state);
         registry.register("members_heard", "Members not dead, by who hears whom", by_hearing);
         registry.register("member", "Each other member: what is believed of it", each);
--- /dev/null
+++ b/daemon/tests/members/cluster.rs
@@ -0,0 +1,220 @@
+//! Members as processes of the program, with an exchange between them, looked at from outside.
+
+use crate::peer::{folder, get, settings, well, within, Peer};
+use ottersail_net::{block_on, executor};
+use ottersail_rig::{Condition, Exchange, Process};
+use rustix::process::Signal;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+pub const KEYS: &str = "a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\n";
+pub const CUT: Condition =
+    Condition { cut: true, reset: false, slow: 0.0, thin: 0.0, double: 0.0, reorder: 0.0 };
+
+pub fn loss(part: f64) -> Condition {
+    Condition { thin: part, ..Condition::default() }
+}
+
+type Turn = Box<dyn FnOnce(&Exchange) + Send>;
+
+/// One process, that may end and be started again under its name and addresses.
+pub struct Node {
+    pub name: String,
+    pub http: SocketAddr,
+    pub udp: SocketAddr,
+    folder: TempDir,
+    pub child: Option<Process>,
+    /// Stopped: it can't be asked.
+    still: bool,
+}
+
+/// All of them, and the exchange on a thread of its own.
+pub struct Cluster {
+    pub nodes: Vec<Node>,
+    /// The list, the titles and the one server of all.
+    _peer: Peer,
+    turns: async_channel::Sender<Turn>,
+}
+
+/// State and hearing by name, as one node tells them.
+pub type Beliefs = BTreeMap<String, (String, String)>;
+
+/// Addresses that no other test holds: a network of its own for each process and cluster.
+fn own(cluster: u8, member: usize) -> (SocketAddr, SocketAddr) {
+    let ip = [127, (std::process::id() % 200 + 16) as u8, cluster, member as u8 + 1];
+    let at = SocketAddr::from((ip, 0));
+    let (tcp, udp) = (TcpListener::bind(at).unwrap(), UdpSocket::bind(at).unwrap());
+    (tcp.local_addr().unwrap(), udp.local_addr().unwrap())
+}
+
+impl Cluster {
+    /// So many, named m-0 and on, each with `period`; `of` gives the cluster and name of each.
+    pub fn with(count: usize, period: u64, of: impl Fn(usize) -> (String, String)) -> Cluster {
+        static CLUSTERS: AtomicU8 = AtomicU8::new(1);
+        let cluster = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+        let addresses: Vec<_> = (0..count).map(|it| own(cluster, it)).collect();
+        let (turns, asked) = async_channel::bounded::<Turn>(1_024);
+        let (tell, told) = async_channel::bounded(1);
+        let members: Vec<SocketAddr> = addresses.iter().map(|it| it.1).collect();
+        std::thread::spawn(move || {
+            let exec = executor();
+            block_on(exec.run(async {
+                let exchange = Exchange::start(exec, members.clone(), 7).unwrap();
+                let there: Vec<_> = (0..members.len()).map(|it| exchange.address(it).unwrap()).collect();
+                _ = tell.send(there).await;
+                while let Ok(turn) = asked.recv().await {
+                    turn(&exchange);
+                }
+            }));
+        });
+        let there = told.recv_blocking().unwrap();
+        let peer = Peer::new(well);
+        let seeds: Vec<String> = there.iter().map(SocketAddr::to_string).collect();
+        let node = |(ix, (http, udp)): (usize, &(SocketAddr, SocketAddr))| {
+            let (cluster, name) = of(ix);
+            let folder = folder("member");
+            let text = settings(*http, peer.address, "")
+                + &format!(
+                    "[members]\nname = {name}\ncluster = {cluster}\nlisten = {udp}\nadvertise = {}\n\
+                     seeds = {}\nkeys = keys\nperiod-ms = {period}\n",
+                    there[ix],
+                    seeds.join(", ")
+                );
+            std::fs::write(folder.path().join("keys"), KEYS).unwrap();
+            std::fs::write(folder.path().join("m.ini"), text).unwrap();
+            Node { name, http: *http, udp: *udp, folder, child: None, still: false }
+        };
+        let nodes = addresses.iter().enumerate().map(node).collect();
+        Cluster { nodes, _peer: peer, turns }
+    }
+
+    /// So many of one cluster, all started, all known to all.
+    pub fn met(count: usize, period: u64) -> Cluster {
+        let mut it = Cluster::with(count, period, |ix| ("east".into(), format!("m-{ix}")));
+        it.nodes.iter_mut().for_each(Node::start);
+        it.all_alive(20);
+        // Each has told each its HTTP address, by a probe or its answer.
+        let doors = || it.up().all(|it| it.figure("ottersail_member_doors") == (count - 1) as f64);
+        assert!(within(Duration::from_secs(20), doors), "{}", it.told());
+        it
+    }
+
+    pub fn set(&self, from: usize, to: usize, condition: Condition) {
+        _ = self.turns.send_blocking(Box::new(move |it| it.set(from, to, condition)));
+    }
+
+    pub fn set_all(&self, condition: Condition) {
+        for (from, to) in pairs(self.nodes.len()) {
+            self.set(from, to, condition);
+        }
+    }
+
+    /// Those that run.
+    pub fn up(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().filter(|it| it.child.is_some() && !it.still)
+    }
+
+    /// Whether all that run believe that of the one with that name.
+    pub fn all_believe(&self, of: &str, state: &str) -> bool {
+        let others = |it: &&Node| it.name != of;
+        self.up().filter(others).all(|it| it.beliefs().get(of).is_some_and(|it| it.0 == state))
+    }
+
+    /// Waits until all that run believe each other alive; how long that took.
+    pub fn all_alive(&self, seconds: u64) -> Duration {
+        let began = Instant::now();
+        let names: Vec<&str> = self.up().map(|it| it.name.as_str()).collect();
+        let hold = || names.iter().all(|it| self.all_believe(it, "alive"));
+        assert!(
+            within(Duration::from_secs(seconds), hold),
+            "not all alive after {seconds} s: {}",
+            self.told()
+        );
+        began.elapsed()
+    }
+
+    /// What each believes, for a test that fails.
+    pub fn told(&self) -> String {
+        self.up().map(|it| format!("\n{}: {:?}\n{}", it.name, it.beliefs(), it.log())).collect()
+    }
+
+    /// A figure of all that run, added up.
+    pub fn sum(&self, figure: &str) -> f64 {
+        self.up().map(|it| it.figure(figure)).sum()
+    }
+
+    /// Looks at all for so long: which states of each were seen, by anybody.
+    pub fn watch(&self, span: Duration) -> BTreeMap<String, Vec<String>> {
+        let mut seen: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        let began = Instant::now();
+        while began.elapsed() < span {
+            for (of, (state, _)) in self.up().flat_map(Node::beliefs) {
+                let states = seen.entry(of).or_default();
+                if !states.contains(&state) {
+                    states.push(state);
+                }
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        seen
+    }
+}
+
+pub fn pairs(count: usize) -> impl Iterator<Item = (usize, usize)> {
+    (0..count).flat_map(move |from| (0..count).map(move |to| (from, to))).filter(|it| it.0 != it.1)
+}
+
+impl Node {
+    pub fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(self.folder.path().join("log")).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ottersail"));
+        command.arg("run").arg(self.folder.path().join("m.ini")).arg("--with-parent");
+        let started = Process::start(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log));
+        self.child = Some(started.unwrap());
+    }
+
+    pub fn kill(&mut self) {
+        self.child = None;
+    }
+
+    /// Told to end, and ended well.
+    pub fn stop(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.signal(Signal::TERM);
+        assert!(child.wait(Duration::from_secs(8)).is_some_and(|it| it.success()), "{}", self.log());
+    }
+
+    /// Stands still, or goes on.
+    pub fn hold(&mut self, still: bool) {
+        self.child.as_mut().unwrap().signal(if still { Signal::STOP } else { Signal::CONT });
+        self.still = still;
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
+    }
+
+    pub fn beliefs(&self) -> Beliefs {
+        let page = get(self.http, "/metrics");
+        page.lines().filter_map(belief).collect()
+    }
+
+    /// A figure of its page by name and labels; 0 if it is not there.
+    pub fn figure(&self, name: &str) -> f64 {
+        let page = get(self.http, "/metrics");
+        let mut found = page.lines().filter_map(|it| it.strip_prefix(name)?.strip_prefix(' '));
+        found.next().and_then(|it| it.trim().parse().ok()).unwrap_or(0.0)
+    }
+}
+
+/// `ottersail_member{name="m-1",state="alive",hearing="both"} 1`
+fn belief(line: &str) -> Option<(String, (String, String))> {
+    let mut parts = line.strip_prefix("ottersail_member{name=\"")?.split('"');
+    let name = parts.next()?.to_string();
+    Some((name, (parts.nth(1)?.to_string(), parts.nth(1)?.to_string())))
+}
