--- a/daemon/src/rehearse.rs
+++ b/daemon/src/rehearse.rs
@@ -2,9 +2,11 @@
 //! killed and stopped as such; servers, list and players run in here.
 
 mod asked;
+mod beliefs;
 mod costs;
 mod error;
 mod files;
+mod gossip;
 mod play;
 mod stage;
 mod steps;
--- a/daemon/src/rehearse/error.rs
+++ b/daemon/src/rehearse/error.rs
@@ -32,6 +32,8 @@
     Keys { file: PathBuf, why: String },
     #[error("the servers of {}: {why}; raise the limit on open files (ulimit -n)", day.display())]
     Fleet { day: PathBuf, why: String },
+    #[error("the exchange between members: {why}; raise the limit on open files (ulimit -n)")]
+    Exchange { why: String },
     #[error("manager {manager}: no address in 127.0.0.0/8: {why}; end what holds its ports")]
     Address { manager: usize, why: io::Error },
     #[error("manager {manager}: {}: {why}; give --beside a program that may be run", program.display())]
--- a/daemon/src/settings/day.rs
+++ b/daemon/src/settings/day.rs
@@ -27,6 +27,8 @@
     /// The managers pick plainly, for comparison; and all by the same chance.
     pub pick: Option<Pick>,
     pub one_seed: bool,
+    /// The managers know one another as members.
+    pub members: bool,
 }
 
 /// Reads the file of a day.
@@ -86,6 +88,7 @@
     let rest = Ms(1e3 * day.number_or("rest-s", 0.0..=60.0, 0.0));
     let pick = day.word_or("pick", PICKS, None);
     let one_seed = day.flag_or("one-seed", false);
+    let members = fleet.flag_or("members", false);
     let even = sheet.section_if("even").map(|it| Even {
         herd: it.number("herd", 1.0..=100.0),
         idle: it.number("idle", 0.0..=1.0),
@@ -133,9 +136,12 @@
     if day.probing > 0 && !rules.flag_or("probes-allowed", false) {
         fleet.complain("probing", "needs probes, but [rules] has no probes-allowed = yes");
     }
+    if !members && day.faults.iter().any(|it| it.gossip().is_some()) {
+        fleet.complain("members", "must be yes: there are faults on what members send");
+    }
     let factor = fleet.number_or("shapes-factor", 1.0..=100.0, 2.0);
     sheet.end()?;
-    Ok(Plan { day, terms, grace: Ms(grace), factor, rest, even, pick, one_seed })
+    Ok(Plan { day, terms, grace: Ms(grace), factor, rest, even, pick, one_seed, members })
 }
 
 impl Plan {
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -104,6 +104,7 @@
         read_manager(Path::new("m.ini"), text)
     }
 
+    const MEMBERS: &str = "[members]\ncluster = east\nlisten = 127.0.0.1:1\nkeys = m\nseeds = 127.0.0.1:2\n";
     const NEW: &str =
         "cells = 12\nworth = 0.2, 0.6, 1\njoin = 0.3\nreports-on-probe = yes\nweights-told = no";
 
@@ -123,6 +124,7 @@
     #[test_case(FILE.to_string(); "the shape of before")]
     #[test_case(FILE.replace("cells = 12", NEW).replace("[rules]", "[rules]\nprobes-allowed = yes")
         .replace("seats = 4", "seats = 4\nlive = yes"); "probes and shared streams")]
+    #[test_case(FILE.to_string() + MEMBERS; "members")]
     fn what_is_written_is_read_again(text: String) {
         let first = read(&text).unwrap();
         let post = Post {
@@ -133,6 +135,7 @@
             list_wait: Ms(2000.0),
             silence: Ms(3000.0),
             cores: 1,
+            members: first.members.as_ref(),
         };
         let again = read(&write_manager(&first.terms, &post)).unwrap();
         assert_eq!(format!("{first:?}"), format!("{again:?}"));
@@ -168,6 +171,16 @@
         "cells = 12", "cells = 12\nworth = 0.5, 1", "one figure for each of the 3 rungs";
         "worth of other rungs"
     )]
+    #[test_case(
+        "[list]", "[members]\ncluster = c\nlisten = 127.0.0.1:1\nkeys = k\n[manager2]\n[list]",
+        "m.ini:11: [manager2] is not known here; did you mean [manager]?";
+        "a heading beside members"
+    )]
+    #[test_case(
+        "zone = a", "zone = A\n[members]\ncluster = c\nlisten = 127.0.0.1:1\nkeys = k\n[x]",
+        "m.ini:4: zone: with [members] expected up to 32 of a-z, 0-9 and -";
+        "a zone that members can't tell"
+    )]
     #[test_case("[list]", "[lits]", "[list] is missing"; "a section with another name")]
     #[test_case(
         "[list]", "[lits]", "[lits] is not known here; did you mean [list]?";
--- a/daemon/src/settings/sections.rs
+++ b/daemon/src/settings/sections.rs
@@ -75,6 +75,7 @@
             list_wait: Ms(2_000.0),
             silence: Ms(3_000.0),
             cores: 1,
+            members: None,
         };
         let sheet = Sheet::read("m.ini", &write_manager(&plan.terms, &post));
         manager::manager(&sheet, Path::new(".")).unwrap();
--- a/daemon/src/settings/write.rs
+++ b/daemon/src/settings/write.rs
@@ -1,5 +1,6 @@
 //! A manager's file, written for rehearsals.
 
+use super::members::Members;
 use ottersail::terms::{Budget, Group, Repeat, Terms};
 use ottersail::time::Ms;
 
@@ -12,13 +13,14 @@
     pub list_wait: Ms,
     pub silence: Ms,
     pub cores: usize,
+    pub members: Option<&'a Members>,
 }
 
 /// Writes a manager's file; [`read_manager`](super::manager::read_manager) reads the same terms from it.
 pub fn write_manager(terms: &Terms, post: &Post) -> String {
     let yes = |it: bool| if it { "yes" } else { "no" };
     let join = |all: &[f64]| all.iter().map(f64::to_string).collect::<Vec<_>>().join(", ");
-    let Post { listen, list, keys, grace, list_wait, silence, cores } = post;
+    let Post { listen, list, keys, grace, list_wait, silence, cores, members } = post;
     let places: Vec<String> = terms.places.iter().map(|(kind, places)| format!("{kind}:{places}")).collect();
     let mut text = format!(
         "[manager]\nnumber = {}\nmanagers = {}\nzone = {}\nlisten = {listen}\nkeys = {keys}\n\
@@ -87,6 +89,16 @@
             }
         };
     }
+    if let Some(it) = members {
+        let seeds = it.seeds.iter().map(|it| it.to_string()).collect::<Vec<_>>().join(", ");
+        let Members { name, cluster, listen, advertise, keys, period, .. } = it;
+        text += &format!(
+            "\n[members]\nname = {name}\ncluster = {cluster}\nlisten = {listen}\nadvertise = {advertise}\n\
+             seeds = {seeds}\nkeys = {}\nperiod-ms = {}\n",
+            keys.display(),
+            period.0
+        );
+    }
     for it in &terms.tenants {
         text += &format!("\n[tenant {}]\nallowance-per-s = {}\n", it.name, it.allowance_per_s);
     }
--- a/daemon/tests/errors.rs
+++ b/daemon/tests/errors.rs
@@ -165,6 +165,7 @@
         Recorder { file: file(), why: text(CAUSE) } => [FILE, "--traffic"], true;
         Keys { file: file(), why: text(CAUSE) } => [FILE], true;
         Fleet { day: file(), why: text(CAUSE) } => [FILE], true;
+        Exchange { why: text(CAUSE) } => ["exchange between members"], true;
         Address { manager: 4, why: why() } => ["manager 4", "127.0.0.0/8"], true;
         Start { manager: 4, program: file(), why: text(CAUSE) } => ["manager 4", FILE, "--beside"], true;
         NotReady { address: at(), patience: Duration::from_secs(3) } => ["127.0.0.9:8123", "3s"], false;
--- a/judge/src/record/event.rs
+++ b/judge/src/record/event.rs
@@ -173,6 +173,14 @@
     Spent {
         cpu: f64,
     },
+    /// What a manager believes of the others: alive, suspect, dead, left. `settled`: all of them run, and
+    /// nothing was done to members for long.
+    Believes {
+        manager: usize,
+        others: usize,
+        counts: [usize; 4],
+        settled: bool,
+    },
     /// A fault was caused or taken back.
     Fault {
         name: String,
--- a/judge/src/rules.rs
+++ b/judge/src/rules.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod budget;
 mod counts;
+mod members;
 mod repeats;
 mod runs;
 mod seats;
@@ -16,6 +17,7 @@
 use answers::answers;
 use budget::budget;
 use counts::counts;
+use members::members;
 use repeats::repeats;
 use runs::Runs;
 use seats::seats;
@@ -41,6 +43,7 @@
         let (judged, broken) = (setups.len(), spread.misses(even));
         findings.push(Finding { rule: 8, name: "even over the servers", judged, of: "set-ups", broken });
     }
+    findings.extend(members(lines));
     let (counts, value) = counts(lines, &runs, &setups);
     let flaw = |line: &Line| match &line.event {
         Event::Flaw { ask, what } => Some(format!("request {ask}: {what}")),
--- a/judge/src/rules/tests.rs
+++ b/judge/src/rules/tests.rs
@@ -3,6 +3,7 @@
 use test_case::test_case;
 
 mod answers;
+mod members;
 mod set_ups;
 
 fn terms() -> Terms {
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -175,6 +175,12 @@
     CoreStall "core-stall",
     /// Stopped, and at the end everything comes at once.
     ManagerStall "manager-stall",
+    /// The part `size` of the datagrams from and to that part of the managers is lost, in the ways told.
+    GossipLoss "gossip-loss",
+    /// Their datagrams are lost, in the ways told: `there` is what they send, `back` what is sent to them.
+    GossipCut "gossip-cut",
+    /// Their datagrams come `size` milliseconds later, in the ways told.
+    GossipSlow "gossip-slow",
 }
 
 impl Fault {
@@ -189,6 +195,17 @@
             _ => None,
         }
     }
+
+    /// What it makes of the ways between managers as members, if it is one of them.
+    pub fn gossip(&self) -> Option<Condition> {
+        let whole = Condition::default();
+        match self.kind {
+            FaultKind::GossipLoss => Some(Condition { thin: self.size.min(1.0), ..whole }),
+            FaultKind::GossipCut => Some(Condition { cut: true, ..whole }),
+            FaultKind::GossipSlow => Some(Condition { slow: self.size, ..whole }),
+            _ => None,
+        }
+    }
 }
 
 impl Day {
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -41,6 +41,9 @@
             | Kind::ManagerRoll
             | Kind::CoreStall
             | Kind::ManagerStall
+            | Kind::GossipLoss
+            | Kind::GossipCut
+            | Kind::GossipSlow
     );
     if !ours {
         return;
