--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 use crate::settings::manager::Manager;
 use async_channel::{Receiver, Sender};
 use book::Book;
-use door::{knock, Door, Knocks};
+use door::{knock, Door, Doors, Knocks};
 use hands::Hands;
 use ottersail_members::gate::{Gate, Opened};
 use ottersail_members::{Address, DialTag, Life, Me, MemberId, Members, Message, Sender as From, Terms};
@@ -41,6 +41,9 @@
     members: RefCell<Members>,
     gate: RefCell<Gate>,
     book: RefCell<Book>,
+    /// Its own HTTP address and those that others have told.
+    door: Option<Door>,
+    doors: RefCell<Doors>,
     knocks: Knocks,
     period: Duration,
     armed: Cell<f64>,
@@ -84,7 +87,8 @@
         let gate = Gate::new(terms.me.id, life, &told.cluster, member_keys(told)?, unguessed());
         let (id, name) = (terms.me.id, told.name.clone());
         let mut members = Members::born(ottersail::time::Ms(0.0), seed, terms);
-        if let Some(door) = Door::of(&manager.listen, told.advertise) {
+        let door = Door::of(&manager.listen, told.advertise);
+        if let Some(door) = door {
             members.carry(door::TOPIC, &door.bytes());
         }
         let fleet = Rc::new_cyclic(|me| Fleet {
@@ -96,6 +100,8 @@
             members: RefCell::new(members),
             gate: RefCell::new(gate),
             book: RefCell::default(),
+            door,
+            doors: RefCell::default(),
             knocks: Knocks::default(),
             period: Duration::from_secs_f64(told.period.0 / 1e3),
             armed: Cell::new(f64::INFINITY),
@@ -115,13 +121,19 @@
 
     /// One input of the machine, and what it wishes.
     fn told(&self, partner: Option<(Address, MemberId)>, input: impl FnOnce(&mut Members, &mut Hands)) {
-        let mut hands = Hands { fleet: self, partner, dials: Vec::new(), changed: false };
+        let mut hands = Hands { fleet: self, partner, dials: Vec::new(), met: Vec::new(), changed: false };
         let mut members = self.members.borrow_mut();
         input(&mut members, &mut hands);
-        let Hands { dials, changed, .. } = hands;
-        if changed {
+        if hands.changed {
             self.book.borrow_mut().read(members.roster());
+            self.doors.borrow_mut().keep(members.roster());
         }
+        // Riders come with probes, one a period: by then a new member might be heard by nobody.
+        for id in std::mem::take(&mut hands.met) {
+            let now = self.now();
+            self.door.map(|it| members.tell(now, id, door::TOPIC, &it.bytes(), &mut hands));
+        }
+        let dials = hands.dials;
         let due = members.bell_at().0;
         drop(members);
         dials.into_iter().for_each(|(to, tag)| self.dial(to, tag));
@@ -189,8 +201,7 @@
     /// The second way: the member's own HTTP address. No answer within a period is none.
     fn dial(&self, to: Address, tag: DialTag) {
         let id = self.book.borrow().id(to);
-        let told =
-            id.and_then(|id| self.members.borrow().roster().find(|it| *it.0 == id).and_then(Door::read));
+        let told = id.and_then(|id| self.doors.borrow().of(id, self.members.borrow().roster()));
         // One that has not told it yet may have both at one address.
         let door = told.unwrap_or(Door::at(to));
         let Some(held) = self.knocks.one_more() else {
--- a/daemon/src/fleet/door.rs
+++ b/daemon/src/fleet/door.rs
@@ -4,6 +4,7 @@
 use ottersail_members::{Address, Known, MemberId, Topic};
 use ottersail_net::{Stream, Timer};
 use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,9 @@
 /// Knocks that are out at once: a member with half the cluster cut off may not take a descriptor for each.
 const MOST_OUT: usize = 16;
 
+/// Doors that are kept whoever told them; only who holds the keys can.
+const MOST_DOORS: usize = 1_024;
+
 /// Where a member answers HTTP.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Door(SocketAddrV4);
@@ -36,11 +40,50 @@
         Door(address)
     }
 
-    /// What that member has told.
-    pub fn read((_, known): (&MemberId, &Known)) -> Option<Door> {
-        let [a, b, c, d, high, low] = *<&[u8; 6]>::try_from(known.riders.get(&TOPIC)?.as_slice()).ok()?;
-        let port = u16::from_be_bytes([high, low]);
-        Some(Door(SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), port)))
+    fn read(bytes: &[u8]) -> Option<Door> {
+        let [a, b, c, d, high, low] = *<&[u8; 6]>::try_from(bytes).ok()?;
+        Some(Door(SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([high, low]))))
+    }
+
+    fn carried(known: &Known) -> Option<Door> {
+        Door::read(known.riders.get(&TOPIC)?)
+    }
+}
+
+/// The doors that members told as soon as they knew of this one; riders tell them again with each probe.
+#[derive(Debug, Default)]
+pub(super) struct Doors(BTreeMap<MemberId, Door>);
+
+impl Doors {
+    /// Heard of that member; what is no door is passed over.
+    pub fn hear(&mut self, from: MemberId, bytes: &[u8]) {
+        if let Some(door) = Door::read(bytes) {
+            self.0.insert(from, door);
+        }
+    }
+
+    /// Once there are many, those of members that are not known are given up. Not before: one that comes in
+    /// may tell its door before anybody has told of it.
+    pub fn keep<'a>(&mut self, roster: impl Iterator<Item = (&'a MemberId, &'a Known)>) {
+        if self.0.len() <= MOST_DOORS {
+            return;
+        }
+        let known: BTreeSet<&MemberId> = roster.map(|it| it.0).collect();
+        self.0.retain(|id, _| known.contains(id));
+    }
+
+    pub fn of<'a>(
+        &self,
+        id: MemberId,
+        mut roster: impl Iterator<Item = (&'a MemberId, &'a Known)>,
+    ) -> Option<Door> {
+        let told = self.0.get(&id).copied();
+        told.or_else(|| Door::carried(roster.find(|it| *it.0 == id)?.1))
+    }
+
+    /// How many of the members have told theirs.
+    pub fn count<'a>(&self, roster: impl Iterator<Item = (&'a MemberId, &'a Known)>) -> usize {
+        roster.filter(|(id, known)| self.0.contains_key(id) || Door::carried(known).is_some()).count()
     }
 }
 
@@ -104,6 +147,19 @@
         assert_eq!(Door::of(listen, at("10.0.0.9:7946")), expected.map(|it| Door(at(it))));
     }
 
+    #[test]
+    fn a_door_that_was_told_is_kept_and_so_many_at_most() {
+        let (mut doors, door) = (Doors::default(), Door(at("10.0.0.9:80")));
+        doors.hear(MemberId(1), &door.bytes());
+        doors.hear(MemberId(2), b"none");
+        let none = || std::iter::empty::<(&MemberId, &Known)>();
+        doors.keep(none());
+        assert_eq!([1, 2].map(|it| doors.of(MemberId(it), none())), [Some(door), None]);
+        (0..MOST_DOORS as u64).for_each(|it| doors.hear(MemberId(3 + it), &door.bytes()));
+        doors.keep(none());
+        assert_eq!((doors.of(MemberId(1), none()), doors.0.len()), (None, 0));
+    }
+
     #[test]
     fn so_many_knocks_are_out_and_no_more() {
         let knocks = Knocks::default();
--- a/daemon/src/fleet/figures.rs
+++ b/daemon/src/fleet/figures.rs
@@ -1,6 +1,5 @@
 //! The members' part of the page of figures.
 
-use super::door::Door;
 use super::{lines, Fleet};
 use ottersail_members::gate::Why;
 use ottersail_members::{Figures, Hearing, State};
@@ -74,7 +73,7 @@
             gauge(&each, vec![("name", known.name.clone()), ("state", state), ("hearing", hearing)], 1);
         }
         let doors: Gauge = Gauge::default();
-        doors.set(members.roster().filter_map(Door::read).count() as i64);
+        doors.set(self.doors.borrow().count(members.roster()) as i64);
         registry.register("member_doors", "Members whose HTTP address is known, for the second way", doors);
         registry.register("members", "Other members known, by state", by_state);
         registry.register("members_heard", "Members not dead, by who hears whom", by_hearing);
--- a/daemon/src/fleet/hands.rs
+++ b/daemon/src/fleet/hands.rs
@@ -1,7 +1,7 @@
 //! What the machine wishes.
 
-use super::{lines, Fleet};
-use ottersail_members::{Address, Change, DialTag, MemberId, Message, Topic, Wishes};
+use super::{door, lines, Fleet};
+use ottersail_members::{Address, Change, DialTag, MemberId, Message, State, Topic, Wishes};
 use tracing::error;
 
 /// Sends at once; dials once the machine has come back, since their answers are inputs of it.
@@ -10,6 +10,8 @@
     /// Who is being answered: the book may not know it yet.
     pub partner: Option<(Address, MemberId)>,
     pub dials: Vec<(Address, DialTag)>,
+    /// Who came in or came back.
+    pub met: Vec<MemberId>,
     /// Addresses may be others' now.
     pub changed: bool,
 }
@@ -32,11 +34,21 @@
         self.dials.push((to, tag));
     }
 
-    /// No layer above listens yet.
-    fn hear(&mut self, _: MemberId, _: Topic, _: &[u8]) {}
+    /// Other layers than the second way's do not listen yet.
+    fn hear(&mut self, from: MemberId, topic: Topic, bytes: &[u8]) {
+        if topic == door::TOPIC {
+            self.fleet.doors.borrow_mut().hear(from, bytes);
+        }
+    }
 
     fn changed(&mut self, change: &Change) {
         self.changed = true;
+        match change {
+            Change::State { id, was, is: State::Alive, .. } if *was != Some(State::Suspect) => {
+                self.met.push(*id);
+            }
+            _ => {}
+        }
         lines::write(change);
     }
 }
--- a/daemon/tests/members/cluster.rs
+++ b/daemon/tests/members/cluster.rs
@@ -102,9 +102,9 @@
         let mut it = Cluster::with(count, period, |ix| ("east".into(), format!("m-{ix}")));
         it.nodes.iter_mut().for_each(Node::start);
         it.all_alive(20);
-        // Each has told each its HTTP address, by a probe or its answer.
+        // Each has told each its HTTP address as soon as they met, before probes have gone round.
         let doors = || it.up().all(|it| it.figure("ottersail_member_doors") == (count - 1) as f64);
-        assert!(within(Duration::from_secs(20), doors), "{}", it.told());
+        assert!(within(Duration::from_secs(2), doors), "{}", it.told());
         it
     }
 
