--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -17,6 +17,7 @@
 use ottersail_members::gate::{Gate, Opened};
 use ottersail_members::{Address, DialTag, Life, Me, MemberId, Members, Message, Sender as From, Terms};
 use ottersail_net::{Datagrams, Exec, Timer};
+use ottersail_tickets::Keys;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -224,6 +225,11 @@
         self.told(None, |it, out| it.dialled(now, tag, up, out));
     }
 
+    /// Other keys from now on; whoever is believed stays so.
+    pub fn rekey(&self, keys: &Keys) {
+        self.gate.borrow_mut().rekey(keys);
+    }
+
     /// Tells the others that this one goes.
     pub fn leave(&self) {
         let now = self.now();
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -161,6 +161,17 @@
     }
 }
 
+/// Members' keys follow one another as players' do; all else of them changes with a restart.
+fn rekey(next: &Manager, running: &Running) {
+    let (Some(fleet), Some(told)) = (running.owner.fleet.get(), &next.members) else {
+        return;
+    };
+    match member_keys(told) {
+        Ok(keys) => fleet.rekey(&keys),
+        Err(trouble) => error!(%trouble, "the members' keys were not taken over"),
+    }
+}
+
 /// Takes over what can change while it runs; a file with a mistake changes nothing.
 fn reload(path: &Path, manager: &Manager, running: &Running) {
     match read(path) {
@@ -171,11 +182,14 @@
         }
         Ok((_, next, keys)) => {
             let same = format!("{:?}", next.terms) == format!("{:?}", manager.terms);
-            if !same || next.listen != manager.listen || next.cores != manager.cores {
+            let others = next.members.is_some() == manager.members.is_some();
+            if !same || !others || next.listen != manager.listen || next.cores != manager.cores {
                 warn!(
-                    "cores, ladder, rules, packages, tenants, list and addresses change with a restart only"
+                    "cores, ladder, rules, packages, tenants, list, members and addresses change with a \
+                     restart only"
                 );
             }
+            rekey(&next, running);
             // Its keys are not in the record, and what they sign is.
             running.owner.end_tape();
             running.owner.front(|it| it.refit(house(&next, keys.clone())));
--- a/daemon/tests/members/cluster.rs
+++ b/daemon/tests/members/cluster.rs
@@ -199,6 +199,15 @@
         self.still = still;
     }
 
+    /// Other keys, and SIGHUP.
+    pub fn rekey(&mut self, keys: &str) {
+        std::fs::write(self.folder.path().join("keys"), keys).unwrap();
+        let taken = self.log().matches("settings taken over").count();
+        self.child.as_mut().unwrap().signal(Signal::HUP);
+        let takes = || self.log().matches("settings taken over").count() > taken;
+        assert!(within(Duration::from_secs(5), takes), "{}", self.log());
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
     }
--- a/daemon/tests/members/names.rs
+++ b/daemon/tests/members/names.rs
@@ -1,6 +1,6 @@
 //! Names that are given twice, and clusters that meet.
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, KEYS};
 use crate::peer::within;
 use std::time::Duration;
 
@@ -43,3 +43,21 @@
     }
     assert!(all.sum("ottersail_member_datagrams_dropped_total{kind=\"cluster\"}") > 0.0);
 }
+
+/// The new key second at all, then first at all, then alone: no datagram is refused on the way.
+#[test]
+fn keys_follow_one_another_by_sighup() {
+    const NEXT: &str = "b BBBBBBBBBBBBBBBBBBBBBBBBBBBBBBBB\n";
+    let mut all = Cluster::met(3, 500);
+    for keys in [KEYS.to_string() + NEXT, NEXT.to_string() + KEYS, NEXT.to_string()] {
+        all.nodes.iter_mut().for_each(|it| it.rekey(&keys));
+        let seen = all.watch(Duration::from_secs(1));
+        assert!(seen.values().all(|it| it == &["alive"]), "{seen:?}{}", all.told());
+    }
+    assert_eq!(all.sum("ottersail_member_datagrams_dropped_total{kind=\"forged\"}"), 0.0);
+    // Who has the new key alone comes in: it is the one in force.
+    all.nodes[2].kill();
+    all.nodes[2].start();
+    assert!(within(Duration::from_secs(10), || all.nodes[2].log().matches("came in").count() == 2));
+    all.all_alive(10);
+}
