--- a/daemon/tests/members/cuts.rs
+++ b/daemon/tests/members/cuts.rs
@@ -5,6 +5,7 @@
 use test_case::test_case;
 
 const BURIALS: &str = "ottersail_member_burials_total";
+const SENT: &str = "ottersail_member_bytes_total{way=\"out\"}";
 
 #[test_case(0.2; "a fifth")]
 #[test_case(0.4; "two fifths")]
@@ -44,3 +45,15 @@
     across().for_each(|it| all.set(it.0, it.1, Default::default()));
     println!("alive to all after {:?}", all.all_alive(20));
 }
+
+/// At rest, with a period of a second; under 500 bytes a second are wanted.
+#[test]
+fn at_rest_a_member_sends_little() {
+    let all = Cluster::met(8, 1_000);
+    std::thread::sleep(Duration::from_secs(4));
+    let (before, span) = (all.sum(SENT), Duration::from_secs(10));
+    std::thread::sleep(span);
+    let each = (all.sum(SENT) - before) / 8.0 / span.as_secs_f64();
+    println!("{each:.0} bytes a second");
+    assert!((50.0..500.0).contains(&each), "{each} bytes a second: {}", all.told());
+}
--- a/daemon/tests/members/nothing.rs
+++ b/daemon/tests/members/nothing.rs
@@ -60,3 +60,13 @@
     assert_eq!(it.ends().code(), Some(2));
     assert!(it.log().contains(expected), "{}", it.log());
 }
+
+#[test]
+fn an_address_that_another_holds_is_told() {
+    let (peer, held) = (Peer::new(well), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let udp = held.local_addr().unwrap();
+    let more = format!("[members]\ncluster = east\nlisten = {udp}\nkeys = keys\n");
+    let mut it = Manager::start_as("taken", |at| settings(at, peer.address, "") + &more, None, &[]);
+    assert_eq!(it.ends().code(), Some(2));
+    assert!(it.log().contains(&format!("{udp}: no datagrams")), "{}", it.log());
+}
