--- /dev/null
+++ b/daemon/src/fleet/hands.rs
@@ -0,0 +1,54 @@
+//! What the machine wishes.
+
+use super::{door, lines, Fleet};
+use ottersail_members::{Address, Change, DialTag, MemberId, Message, State, Topic, Wishes};
+use tracing::error;
+
+/// Sends at once; dials once the machine has come back, since their answers are inputs of it.
+pub(super) struct Hands<'a> {
+    pub fleet: &'a Fleet,
+    /// Who is being answered: the book may not know it yet.
+    pub partner: Option<(Address, MemberId)>,
+    pub dials: Vec<(Address, DialTag)>,
+    /// Who came in or came back.
+    pub met: Vec<MemberId>,
+    /// Addresses may be others' now.
+    pub changed: bool,
+}
+
+impl Wishes for Hands<'_> {
+    fn send(&mut self, to: Address, message: &Message) {
+        let partner = self.partner.filter(|it| it.0 == to).map(|it| it.1);
+        let id = partner.or_else(|| self.fleet.book.borrow().id(to));
+        let sealed = self.fleet.gate.borrow_mut().seal(id, message);
+        match sealed {
+            Ok(bytes) => self.fleet.send(&bytes, to),
+            Err(trouble) => {
+                self.fleet.tally.unsealed.set(self.fleet.tally.unsealed.get() + 1);
+                error!(target: "members", %trouble, %to, "a message could not be sent");
+            }
+        }
+    }
+
+    fn dial(&mut self, to: Address, tag: DialTag) {
+        self.dials.push((to, tag));
+    }
+
+    /// Other layers than the second way's do not listen yet.
+    fn hear(&mut self, from: MemberId, topic: Topic, bytes: &[u8]) {
+        if topic == door::TOPIC {
+            self.fleet.doors.borrow_mut().hear(from, bytes);
+        }
+    }
+
+    fn changed(&mut self, change: &Change) {
+        self.changed = true;
+        match change {
+            Change::State { id, was, is: State::Alive, .. } if *was != Some(State::Suspect) => {
+                self.met.push(*id);
+            }
+            _ => {}
+        }
+        lines::write(change);
+    }
+}
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -5,10 +5,12 @@
 mod start;
 
 use crate::error::RunError;
+use crate::fleet::{self, Fleet};
 use crate::owner::Tape;
 use crate::post::Errand;
 use crate::settings::load;
 use crate::settings::manager::{read_manager, Manager};
+use crate::settings::members::Members;
 use async_signal::{Signal as Heard, Signals};
 use futures_lite::StreamExt;
 pub use nothing::NoOrders;
@@ -16,6 +18,7 @@
 use ottersail_front::decisions::Decisions;
 use ottersail_front::tape::Told;
 use ottersail_front::{Answers, Front, House, Ms};
+use ottersail_members::Life;
 use ottersail_net::{block_on, executor, Clock, Timer};
 use ottersail_tickets::Keys;
 use process::end_with_parent;
@@ -40,9 +43,21 @@
     let wrong = |why: String| RunError::Keys { file: manager.keys.clone(), why };
     let keys = std::fs::read_to_string(&manager.keys).map_err(|it| wrong(it.to_string()))?;
     let keys = Keys::read(&keys).map_err(|it| wrong(it.to_string()))?;
+    manager.members.as_ref().map(member_keys).transpose()?;
+    fleet::terms(&manager, Life(0))?;
     Ok((text, manager, keys))
 }
 
+/// The keys that members sign with.
+///
+/// # Errors
+/// If the file can't be read, or holds no keys.
+pub fn member_keys(members: &Members) -> Result<Keys, RunError> {
+    let wrong = |why: String| RunError::MemberKeys { file: members.keys.clone(), why };
+    let text = std::fs::read_to_string(&members.keys).map_err(|it| wrong(it.to_string()))?;
+    Keys::read(&text).map_err(|it| wrong(it.to_string()))
+}
+
 pub fn house(manager: &Manager, keys: Keys) -> House {
     House {
         url: manager.url.clone(),
@@ -97,6 +112,9 @@
     let exec = executor();
     let running = start(exec, clock, &manager, keys, front, tape)?;
     let owner = running.owner.clone();
+    if let Some(fleet) = Fleet::start(exec, seed, &manager)? {
+        _ = owner.fleet.set(fleet);
+    }
     let (listen, cores) = (&manager.listen, manager.cores);
     info!(listen, cores, managers = manager.terms.managers, number = manager.terms.me.0, "running");
 
@@ -112,6 +130,9 @@
             }
         }
         owner.tell(&Told::Drain);
+        if let Some(fleet) = owner.fleet.get() {
+            fleet.leave();
+        }
         let done = async {
             while owner.front(|it| it.waiting()) > 0 {
                 Timer::after(Duration::from_millis(10)).await;
@@ -140,6 +161,17 @@
     }
 }
 
+/// Members' keys follow one another as players' do; all else of them changes with a restart.
+fn rekey(next: &Manager, running: &Running) {
+    let (Some(fleet), Some(told)) = (running.owner.fleet.get(), &next.members) else {
+        return;
+    };
+    match member_keys(told) {
+        Ok(keys) => fleet.rekey(&keys),
+        Err(trouble) => error!(%trouble, "the members' keys were not taken over"),
+    }
+}
+
 /// Takes over what can change while it runs; a file with a mistake changes nothing.
 fn reload(path: &Path, manager: &Manager, running: &Running) {
     match read(path) {
@@ -150,11 +182,14 @@
         }
         Ok((_, next, keys)) => {
             let same = format!("{:?}", next.terms) == format!("{:?}", manager.terms);
-            if !same || next.listen != manager.listen || next.cores != manager.cores {
+            let others = next.members.is_some() == manager.members.is_some();
+            if !same || !others || next.listen != manager.listen || next.cores != manager.cores {
                 warn!(
-                    "cores, ladder, rules, packages, tenants, list and addresses change with a restart only"
+                    "cores, ladder, rules, packages, tenants, list, members and addresses change with a \
+                     restart only"
                 );
             }
+            rekey(&next, running);
             // Its keys are not in the record, and what they sign is.
             running.owner.end_tape();
             running.owner.front(|it| it.refit(house(&next, keys.clone())));
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -2,6 +2,7 @@
 
 use super::error::SettingsError;
 use super::links::{links, Links};
+use super::members::{members, short, Members, LETTERS, LONGEST_NAME};
 use super::sheet::{Section, Sheet};
 use super::terms::terms;
 use ottersail::terms::Terms;
@@ -21,6 +22,8 @@
     /// Threads that hold connections; the first owns placement too.
     pub cores: usize,
     pub links: Links,
+    /// Off unless told.
+    pub members: Option<Members>,
 }
 
 /// Reads a manager's file.
@@ -40,7 +43,15 @@
     if number >= managers {
         me.complain("number", format!("counts from 0 and must be under managers, {managers}"));
     }
-    let terms = terms(sheet, (number, managers, &me.text("zone")));
+    let members = members(sheet, folder, number);
+    let zone = me.text("zone");
+    if members.is_some() && !short(&zone) {
+        me.complain(
+            "zone",
+            format!("with [members] expected up to {LONGEST_NAME} of {LETTERS}, read {zone:?}"),
+        );
+    }
+    let terms = terms(sheet, (number, managers, &zone));
     let listen = me.address("listen");
     let manager = Manager {
         url: me.get("url").map_or_else(|| format!("http://{listen}"), str::to_string),
@@ -51,6 +62,7 @@
         connections: me.whole_or("connections", 1..=1_000_000, 8_000) as usize,
         cores: cores(&me),
         links: links(sheet),
+        members,
         terms,
         listen,
     };
@@ -92,6 +104,7 @@
         read_manager(Path::new("m.ini"), text)
     }
 
+    const MEMBERS: &str = "[members]\ncluster = east\nlisten = 127.0.0.1:1\nkeys = m\nseeds = 127.0.0.1:2\n";
     const NEW: &str =
         "cells = 12\nworth = 0.2, 0.6, 1\njoin = 0.3\nreports-on-probe = yes\nweights-told = no";
 
@@ -111,6 +124,7 @@
     #[test_case(FILE.to_string(); "the shape of before")]
     #[test_case(FILE.replace("cells = 12", NEW).replace("[rules]", "[rules]\nprobes-allowed = yes")
         .replace("seats = 4", "seats = 4\nlive = yes"); "probes and shared streams")]
+    #[test_case(FILE.to_string() + MEMBERS; "members")]
     fn what_is_written_is_read_again(text: String) {
         let first = read(&text).unwrap();
         let post = Post {
@@ -121,6 +135,7 @@
             list_wait: Ms(2000.0),
             silence: Ms(3000.0),
             cores: 1,
+            members: first.members.as_ref(),
         };
         let again = read(&write_manager(&first.terms, &post)).unwrap();
         assert_eq!(format!("{first:?}"), format!("{again:?}"));
@@ -156,6 +171,16 @@
         "cells = 12", "cells = 12\nworth = 0.5, 1", "one figure for each of the 3 rungs";
         "worth of other rungs"
     )]
+    #[test_case(
+        "[list]", "[members]\ncluster = c\nlisten = 127.0.0.1:1\nkeys = k\n[manager2]\n[list]",
+        "m.ini:11: [manager2] is not known here; did you mean [manager]?";
+        "a heading beside members"
+    )]
+    #[test_case(
+        "zone = a", "zone = A\n[members]\ncluster = c\nlisten = 127.0.0.1:1\nkeys = k\n[x]",
+        "m.ini:4: zone: with [members] expected up to 32 of a-z, 0-9 and -";
+        "a zone that members can't tell"
+    )]
     #[test_case("[list]", "[lits]", "[list] is missing"; "a section with another name")]
     #[test_case(
         "[list]", "[lits]", "[lits] is not known here; did you mean [list]?";
--- a/daemon/src/settings/sections.rs
+++ b/daemon/src/settings/sections.rs
@@ -16,6 +16,7 @@
     ("manager", In::Manager, "manager"),
     ("list", In::Manager, "links"),
     ("servers", In::Manager, "links"),
+    ("members", In::Manager, "members"),
     ("ladder", In::Both, "terms"),
     ("rules", In::Both, "terms"),
     ("package NAME", In::Both, "package"),
@@ -74,6 +75,7 @@
             list_wait: Ms(2_000.0),
             silence: Ms(3_000.0),
             cores: 1,
+            members: None,
         };
         let sheet = Sheet::read("m.ini", &write_manager(&plan.terms, &post));
         manager::manager(&sheet, Path::new(".")).unwrap();
--- a/daemon/tests/errors.rs
+++ b/daemon/tests/errors.rs
@@ -4,6 +4,7 @@
 use ottersail_daemon::error::{JudgeError, LineError, NodeError, ReplayError, RunError};
 use ottersail_daemon::rehearse::{RehearseError, Unclean};
 use ottersail_daemon::settings::error::{Complaint, SettingsError, Wrong};
+use ottersail_members::TermsError;
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
@@ -113,6 +114,9 @@
     let bad = || "x".parse::<SocketAddr>().unwrap_err();
     table!(RunError:
         Keys { file: file(), why: text(CAUSE) } => [FILE, "[manager] keys"], true;
+        MemberKeys { file: file(), why: text(CAUSE) } => [FILE, "[members] keys"], true;
+        Members { 0: TermsError::Name(text("a b")) } => ["[members]", "a b"], false;
+        Datagrams { address: at(), why: why() } => ["127.0.0.9:8123", "[members] listen"], true;
         Record { file: file(), why: why() } => [FILE, "--record"], true;
         ParentUnheard { why: why() } => ["--with-parent"], true;
         ParentGone {} => ["--with-parent"], false;
@@ -161,6 +165,7 @@
         Recorder { file: file(), why: text(CAUSE) } => [FILE, "--traffic"], true;
         Keys { file: file(), why: text(CAUSE) } => [FILE], true;
         Fleet { day: file(), why: text(CAUSE) } => [FILE], true;
+        Exchange { why: text(CAUSE) } => ["exchange between members"], true;
         Address { manager: 4, why: why() } => ["manager 4", "127.0.0.0/8"], true;
         Start { manager: 4, program: file(), why: text(CAUSE) } => ["manager 4", FILE, "--beside"], true;
         NotReady { address: at(), patience: Duration::from_secs(3) } => ["127.0.0.9:8123", "3s"], false;
