What is usual of a link goes by the number of managers again, not by slots

Cause: a manager on its kept slot, one of 37, took a server that tells no link for nearly full and blocked its third viewing (seen between processes with the council gone); line at fault: usually, by the share of slots. Change: slots stand beside the number of managers and bound only the cold pace and tenants' shares.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,8 +41,8 @@
     terms: Terms,
     now: Ms,
     chance: Chance,
-    /// This manager's slots, of as many as `terms.managers`: its part of what all managers share.
-    slots: Vec<u64>,
+    /// This manager's slots, and of how many: its part of what all managers share.
+    slots: (Vec<u64>, f64),
     /// Until then any server may be cold: the list at start may be old.
     unsure_until: Ms,
     servers: BTreeMap<ServerId, Server>,
@@ -85,7 +85,7 @@
         Brain {
             now,
             chance: Chance(seed | 1),
-            slots: vec![terms.me.0],
+            slots: (vec![terms.me.0], terms.managers.max(1.0)),
             unsure_until: now + terms.cold.lasts.min(terms.cold.fall_window * LIST_LAG),
             whole_since: now + terms.reports_every,
             arrivals: vec![DecayingSum::default(); terms.tenants.len()],
--- a/src/brain/limits.rs
+++ b/src/brain/limits.rs
@@ -5,12 +5,12 @@
 impl Brain {
     /// From now on this manager's part is these slots, of so many that all managers hold together.
     pub fn part(&mut self, slots: &[u64], of: f64) {
-        (self.slots, self.terms.managers) = (slots.to_vec(), of);
+        self.slots = (slots.to_vec(), of.max(1.0));
     }
 
     /// This manager's part of what all managers share.
     pub(super) fn share(&self) -> f64 {
-        self.slots.len() as f64 / self.terms.managers.max(1.0)
+        self.slots.0.len() as f64 / self.slots.1
     }
 
     /// True for an arrival past its tenant's share: this manager's part of it, with a root margin,
--- a/src/brain/links.rs
+++ b/src/brain/links.rs
@@ -91,7 +91,7 @@
     }
 
     pub(super) fn usually(&self, usual: f64, told: f64, own: Own) -> Seen {
-        let asked = usual * (1.0 - self.share()) + own.0 / told.max(1.0);
+        let asked = usual * (1.0 - 1.0 / self.terms.managers.max(1.0)) + own.0 / told.max(1.0);
         Seen { asked, own, at: self.now }
     }
 
--- a/src/brain/pace.rs
+++ b/src/brain/pace.rs
@@ -6,7 +6,7 @@
     /// Rule 4: this manager's part of what a cold server takes in any window. Where that is under one a slot, as
     /// many slots as half a window bears have a turn together, a window long: any window touches two.
     pub(super) fn pace_allows(&self, server: &Server) -> bool {
-        let (cold, managers) = (&self.terms.cold, self.terms.managers.max(1.0));
+        let (cold, (slots, of)) = (&self.terms.cold, &self.slots);
         let sure = server.failures == 0 && self.now >= self.unsure_until;
         if cold.lasts <= Ms(0.0) || (sure && self.now >= server.cold_until) {
             return true;
@@ -17,17 +17,17 @@
         let pace = places / cold.lasts.0 * cold.start_capacity * cold.fall_multiple / weight;
         let all = (pace * cold.fall_window.0).floor();
         let since = |start: Ms| server.sent.iter().filter(|at| **at > start).count() as f64;
-        let each = (all / managers).floor();
+        let each = (all / of).floor();
         if each >= 1.0 {
-            return since(self.now - cold.fall_window) < each * self.slots.len() as f64;
+            return since(self.now - cold.fall_window) < each * slots.len() as f64;
         }
         let length = cold.fall_window * if all >= 2.0 { 1.0 } else { 2.0 };
         let turn = (self.now / length).floor();
         let early = all >= 2.0 || self.now - length * turn < cold.fall_window;
         let together = (all / 2.0).floor().max(1.0);
         let shift = name_sum(&server.entry.server.to_string());
-        let whose = (turn + shift as f64).rem_euclid((managers / together).ceil());
-        let mine = self.slots.iter().filter(|it| whose == (**it as f64 / together).floor()).count() as f64;
+        let whose = (turn + shift as f64).rem_euclid((of / together).ceil());
+        let mine = slots.iter().filter(|it| whose == (**it as f64 / together).floor()).count() as f64;
         early && since(length * turn - Ms(1e-6)) < mine
     }
 
--- a/src/brain/tests/links.rs
+++ b/src/brain/tests/links.rs
@@ -66,3 +66,13 @@
     let kb = |id: &str| it.link_kb(&it.servers[&id.into()]);
     assert_eq!((kb("s0"), kb("s1")), (50.0, 150.0));
 }
+
+// A manager that held one kept slot of 37 took links that tell nothing for nearly full.
+#[test]
+fn what_is_usual_goes_by_managers_and_not_by_slots() {
+    let mut it = brain(Terms { managers: 5.0, ..terms() }, 1);
+    let before = it.usually(0.9, 100.0, (10.0, 1.0)).asked;
+    it.part(&[36], 37.0);
+    assert_eq!(it.usually(0.9, 100.0, (10.0, 1.0)).asked, before);
+    assert!((before - (0.9 * 0.8 + 0.1)).abs() < 1e-9);
+}
