Settings of a council: councillors, store, slots, lease and drift, off unless told

Need: the daemon is to carry the council and the parts over the members it has, and an operator says so in the settings. Change: [council] with its complaints by line (an even count, a name twice, a councillor without a store, a store of one that is none, no [members]).

--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -1,5 +1,6 @@
 //! A manager's settings; `[manager]` itself is read here.
 
+use super::council::{council, Council};
 use super::error::SettingsError;
 use super::links::{links, Links};
 use super::members::{members, short, Members, LETTERS, LONGEST_NAME};
@@ -24,6 +25,8 @@
     pub links: Links,
     /// Off unless told.
     pub members: Option<Members>,
+    /// Off unless told; only with members.
+    pub council: Option<Council>,
 }
 
 /// Reads a manager's file.
@@ -44,6 +47,7 @@
         me.complain("number", format!("counts from 0 and must be under managers, {managers}"));
     }
     let members = members(sheet, folder, number);
+    let council = council(sheet, folder, members.as_ref());
     let zone = me.text("zone");
     if members.is_some() && !short(&zone) {
         me.complain(
@@ -63,6 +67,7 @@
         cores: cores(&me),
         links: links(sheet),
         members,
+        council,
         terms,
         listen,
     };
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings files: INI, read with their lines so that every complaint tells where it belongs. Which sections
 //! there are is listed in [`sections`].
 
+pub mod council;
 pub mod day;
 pub mod error;
 mod fault;
--- a/daemon/src/settings/sections.rs
+++ b/daemon/src/settings/sections.rs
@@ -17,6 +17,7 @@
     ("list", In::Manager, "links"),
     ("servers", In::Manager, "links"),
     ("members", In::Manager, "members"),
+    ("council", In::Manager, "council"),
     ("ladder", In::Both, "terms"),
     ("rules", In::Both, "terms"),
     ("package NAME", In::Both, "package"),
