--- a/daemon/src/fleet/council.rs
+++ b/daemon/src/fleet/council.rs
@@ -1,6 +1,7 @@
 //! The council and the parts over the members: the machines of `ottersail-council` and `ottersail-parts` with
 //! their messages, time and disk. Each input is gone through until nothing follows from it; what is to be
-//! sent, kept and told comes out as [`Outs`]. Nothing is decided here but when a new slot may be used (`share.rs`).
+//! sent, kept and told comes out as [`Outs`]. Nothing is decided here but when a new slot may be used, in
+//! `share.rs`.
 
 mod carry;
 mod figures;
--- a/daemon/src/fleet/council/lines.rs
+++ b/daemon/src/fleet/council/lines.rs
@@ -37,7 +37,7 @@
 pub(super) fn unknown_head(bytes: usize) {
     error!(
         target: "council", bytes,
-        "the register head is of a version that is not known here: no slots; bring this program to the others'"
+        "the register head is of a version that is not known here: no slots; bring this program to theirs"
     );
 }
 
--- a/daemon/src/fleet/council/share.rs
+++ b/daemon/src/fleet/council/share.rs
@@ -1,7 +1,7 @@
 //! The part as the module is told it: which slots, of how many, until when by the front's clock.
 //!
 //! Besides the D leased slots each manager has one of its own, number D + N of D + M, which no council gives
-//! or takes: with the council gone a manager acts on that alone, and all parts together are the whole at most.
+//! or takes: with the council gone a manager acts on that alone, and all parts are the whole at most.
 
 use ottersail::time::Ms;
 use ottersail_front::Part;
--- a/daemon/tests/council/table.rs
+++ b/daemon/tests/council/table.rs
@@ -57,8 +57,8 @@
         it
     }
 
-    /// Waits until all slots are held but one a member, which rounding leaves, and by so many members; at each
-    /// look none by two.
+    /// Waits until all slots are held but one a member, which rounding leaves, and by so many members; at
+    /// each look none by two.
     pub fn fills(&self, members: usize) {
         let full = || {
             let held = self.look();
