Council between processes: settings that differ from the founding's, and a store that is none

Need: an operator's mistakes may not stop viewings nor cut the whole in two ways. Change: two process tests: a member told 64 slots follows the founding's 32 and says so; a councillor with a file that is no store abstains, serves and leaves the file as it is.

--- a/daemon/tests/council/main.rs
+++ b/daemon/tests/council/main.rs
@@ -5,6 +5,7 @@
 #[path = "../members/cluster.rs"]
 mod cluster;
 mod losses;
+mod odd;
 #[allow(dead_code)]
 #[path = "../peer/mod.rs"]
 mod peer;
