A councillor that abstains promises nothing more: a test of the seat

Need: after its store failed a councillor may not go on with promises that no disk holds. Change: a unit test over an open store.

--- a/daemon/src/fleet/council/seat.rs
+++ b/daemon/src/fleet/council/seat.rs
@@ -124,3 +124,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ottersail_council::{Ballot, Life, Memory, Open};
+
+    /// Symptom without that: a councillor goes on to promise what no disk holds.
+    #[test]
+    fn one_that_abstains_promises_nothing_more() {
+        let folder = tempfile::tempdir().unwrap();
+        let (store, stored) = Store::open(&folder.path().join("council"), Memory(5)).unwrap();
+        let [me, other, third] = [1, 2, 3].map(MemberId);
+        let terms = Terms::new(me, Life(4), &[me, other, third], 1);
+        let opened = Some((store, Stored { sound: true, ..stored }));
+        let (mut seat, keeper) = Seat::born(Ms(0.0), &terms, opened);
+        assert!(keeper.is_some() && seat.is_councillor());
+        assert_eq!((seat.turned(), seat.turned()), (Some(true), None), "told once");
+        let ballot = Ballot { number: 1, proposer: other, life: Life(9) };
+        let prepare = Message::Prepare { key: Key::Head, ballot };
+        let kept = |seat: &mut Seat| {
+            let mut wants = Wants::default();
+            seat.message(Ms(1.0), other, &prepare, &Open, &mut wants);
+            (wants.keeps.len(), wants.posts.len())
+        };
+        assert_eq!(kept(&mut seat), (1, 0), "a promise waits for the disk");
+        seat.abstain(Ms(2.0), &terms);
+        assert_eq!(kept(&mut seat), (0, 0));
+        assert!(seat.sound().is_none() && !seat.is_councillor() && seat.turned().is_none());
+    }
+}
