--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -2,20 +2,24 @@
 //! and its gate. It carries bytes, time and wishes between them; nothing is decided here.
 
 mod book;
+mod council;
 mod door;
 mod figures;
 mod hands;
 mod lines;
+mod second;
 
 use crate::error::RunError;
+use crate::owner::Owner;
 use crate::run::member_keys;
 use crate::settings::manager::Manager;
 use async_channel::{Receiver, Sender};
 use book::Book;
-use door::{knock, Door, Doors, Knocks};
+use council::{Council, Counsel};
+use door::{Door, Doors, Knocks};
 use hands::Hands;
 use ottersail_members::gate::{Gate, Opened};
-use ottersail_members::{Address, DialTag, Life, Me, MemberId, Members, Message, Sender as From, Terms};
+use ottersail_members::{Address, Life, Me, MemberId, Members, Message, Sender as From, Terms};
 use ottersail_net::{Datagrams, Exec, Timer};
 use ottersail_tickets::Keys;
 use std::cell::{Cell, RefCell};
@@ -50,6 +54,7 @@
     armed: Cell<f64>,
     rearm: (Sender<()>, Receiver<()>),
     tally: figures::Tally,
+    counsel: Counsel,
 }
 
 /// Chance of the system's, that nobody can guess from outside.
@@ -78,7 +83,12 @@
     ///
     /// # Errors
     /// If the address can't be had, or the keys.
-    pub fn start(exec: Exec, seed: u64, manager: &Manager) -> Result<Option<Rc<Fleet>>, RunError> {
+    pub fn start(
+        exec: Exec,
+        seed: u64,
+        manager: &Manager,
+        owner: &Rc<Owner>,
+    ) -> Result<Option<Rc<Fleet>>, RunError> {
         let life = Life(unguessed());
         let (Some(told), Some(terms)) = (&manager.members, terms(manager, life)?) else {
             return Ok(None);
@@ -92,6 +102,7 @@
         if let Some(door) = door {
             members.carry(door::TOPIC, &door.bytes());
         }
+        let council = Council::born(ottersail::time::Ms(0.0), seed, life, manager);
         let fleet = Rc::new_cyclic(|me| Fleet {
             me: me.clone(),
             exec,
@@ -108,10 +119,12 @@
             armed: Cell::new(f64::INFINITY),
             rearm: async_channel::bounded(1),
             tally: figures::Tally::default(),
+            counsel: Counsel::new(council, owner),
         });
         info!(target: "members", name, %id, %life, listen = %told.listen, cluster = told.cluster, "member");
         exec.spawn(fleet.clone().listen()).detach();
         exec.spawn(fleet.clone().ring()).detach();
+        fleet.counsel();
         Ok(Some(fleet))
     }
 
@@ -122,7 +135,8 @@
 
     /// One input of the machine, and what it wishes.
     fn told(&self, partner: Option<(Address, MemberId)>, input: impl FnOnce(&mut Members, &mut Hands)) {
-        let mut hands = Hands { fleet: self, partner, dials: Vec::new(), met: Vec::new(), changed: false };
+        let (dials, met, heard) = (Vec::new(), Vec::new(), Vec::new());
+        let mut hands = Hands { fleet: self, partner, dials, met, heard, changed: false };
         let mut members = self.members.borrow_mut();
         input(&mut members, &mut hands);
         if hands.changed {
@@ -134,13 +148,14 @@
             let now = self.now();
             self.door.map(|it| members.tell(now, id, door::TOPIC, &it.bytes(), &mut hands));
         }
-        let dials = hands.dials;
+        let Hands { dials, heard, .. } = hands;
         let due = members.bell_at().0;
         drop(members);
         dials.into_iter().for_each(|(to, tag)| self.dial(to, tag));
         if due < self.armed.get() {
             _ = self.rearm.0.try_send(());
         }
+        self.above(heard);
     }
 
     async fn listen(self: Rc<Fleet>) {
@@ -199,32 +214,6 @@
         }
     }
 
-    /// The second way: the member's own HTTP address. No answer within a period is none.
-    fn dial(&self, to: Address, tag: DialTag) {
-        let id = self.book.borrow().id(to);
-        let told = id.and_then(|id| self.doors.borrow().of(id, self.members.borrow().roster()));
-        // One that has not told it yet may have both at one address.
-        let door = told.unwrap_or(Door::at(to));
-        let Some(held) = self.knocks.one_more() else {
-            return self.dialled(tag, false);
-        };
-        let Some(fleet) = self.me.upgrade() else {
-            return;
-        };
-        let period = self.period;
-        let task = async move {
-            let up = knock(door, period).await;
-            drop(held);
-            fleet.dialled(tag, up);
-        };
-        self.exec.spawn(task).detach();
-    }
-
-    fn dialled(&self, tag: DialTag, up: bool) {
-        let now = self.now();
-        self.told(None, |it, out| it.dialled(now, tag, up, out));
-    }
-
     /// Other keys from now on; whoever is believed stays so.
     pub fn rekey(&self, keys: &Keys) {
         self.gate.borrow_mut().rekey(keys);
--- a/daemon/src/fleet/hands.rs
+++ b/daemon/src/fleet/hands.rs
@@ -12,6 +12,8 @@
     pub dials: Vec<(Address, DialTag)>,
     /// Who came in or came back.
     pub met: Vec<MemberId>,
+    /// For the layers above, once the machine has come back: they may tell others in turn.
+    pub heard: Vec<(MemberId, Topic, Vec<u8>)>,
     /// Addresses may be others' now.
     pub changed: bool,
 }
@@ -34,10 +36,11 @@
         self.dials.push((to, tag));
     }
 
-    /// Other layers than the second way's do not listen yet.
     fn hear(&mut self, from: MemberId, topic: Topic, bytes: &[u8]) {
         if topic == door::TOPIC {
             self.fleet.doors.borrow_mut().hear(from, bytes);
+        } else {
+            self.heard.push((from, topic, bytes.to_vec()));
         }
     }
 
--- /dev/null
+++ b/daemon/src/fleet/second.rs
@@ -0,0 +1,33 @@
+//! Trying a member on the second way.
+
+use super::door::{knock, Door};
+use super::Fleet;
+use ottersail_members::{Address, DialTag};
+
+impl Fleet {
+    /// The second way: the member's own HTTP address. No answer within a period is none.
+    pub(super) fn dial(&self, to: Address, tag: DialTag) {
+        let id = self.book.borrow().id(to);
+        let told = id.and_then(|id| self.doors.borrow().of(id, self.members.borrow().roster()));
+        // One that has not told it yet may have both at one address.
+        let door = told.unwrap_or(Door::at(to));
+        let Some(held) = self.knocks.one_more() else {
+            return self.dialled(tag, false);
+        };
+        let Some(fleet) = self.me.upgrade() else {
+            return;
+        };
+        let period = self.period;
+        let task = async move {
+            let up = knock(door, period).await;
+            drop(held);
+            fleet.dialled(tag, up);
+        };
+        self.exec.spawn(task).detach();
+    }
+
+    fn dialled(&self, tag: DialTag, up: bool) {
+        let now = self.now();
+        self.told(None, |it, out| it.dialled(now, tag, up, out));
+    }
+}
