--- a/council/src/lib.rs
+++ b/council/src/lib.rs
@@ -4,7 +4,6 @@
 
 pub mod acceptor;
 pub mod asker;
-mod chance;
 pub mod councillor;
 pub mod follower;
 pub mod message;
--- a/council/src/proposer.rs
+++ b/council/src/proposer.rs
@@ -5,7 +5,6 @@
 use ottersail::time::Ms;
 use ottersail_members::MemberId;
 
-use crate::chance::Chance;
 use crate::message::{Message, Voice};
 pub use crate::round::Job;
 use crate::round::{self, Next, Phase, Promised, Round, Rules};
@@ -13,6 +12,7 @@
 #[cfg(any(test, feature = "sabotage"))]
 use crate::wishes::Guards;
 use crate::wishes::{Terms, Wishes};
+use ottersail_members::chance::Chance;
 
 /// Requests that wait for one key at most.
 const QUEUE_MOST: usize = 16;
--- a/council/src/tests/sim.rs
+++ b/council/src/tests/sim.rs
@@ -6,8 +6,8 @@
 use ottersail_members::{Life, MemberId};
 
 use super::judge::{founded, Heap, Judge};
-use crate::chance::Chance;
 use crate::*;
+use ottersail_members::chance::Chance;
 
 /// What goes wrong, in thousandths.
 #[derive(Clone, Copy, Debug, Default)]
--- a/members/src/chance.rs
+++ b/members/src/chance.rs
@@ -1,7 +1,8 @@
 //! Chance that repeats from its seed.
 
 /// A multiply-with-carry generator.
-pub(crate) struct Chance(u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Chance(u64);
 
 impl Chance {
     pub fn new(seed: u64) -> Chance {
@@ -18,6 +19,11 @@
         (((self.0 & 0xffff_ffff) * limit as u64) >> 32) as usize
     }
 
+    /// From just above 0 to 1.
+    pub fn part(&mut self) -> f64 {
+        (self.below(1 << 24) + 1) as f64 / f64::from(1 << 24)
+    }
+
     pub fn shuffle<T>(&mut self, list: &mut [T]) {
         for end in (1..list.len()).rev() {
             list.swap(end, self.below(end + 1));
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -5,7 +5,7 @@
 //! docs/membership.md.
 
 mod apply;
-mod chance;
+pub mod chance;
 mod entry;
 mod exchange;
 pub mod gate;
