--- /dev/null
+++ b/releases/src/stand.rs
@@ -0,0 +1,33 @@
+//! What a manager tells the councillors of itself while an order stands.
+
+use crate::book::Stamp;
+use crate::order::Name;
+use serde::{Deserialize, Serialize};
+
+/// How viewings ended since this life began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    pub asked: u64,
+    pub blocked: u64,
+    pub aborted: u64,
+    pub broken_off: u64,
+    pub set_ups: u64,
+    /// All their times added up, in milliseconds.
+    pub set_up_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stand {
+    /// By the teller's own clock.
+    pub at: Stamp,
+    pub version: Name,
+    /// It takes viewings, has list and titles, and its first doubts have ended.
+    pub whole: bool,
+    /// It goes out on the permit that was asked for at that moment.
+    pub going: Option<Stamp>,
+    /// Permits asked for up to that moment it will never use any more.
+    pub never: Stamp,
+    /// The revision of the order that it follows.
+    pub order: u64,
+    pub counts: Counts,
+}
