A guard sees all registers of its acceptor; the front can take viewings again and tells if it is whole

Need: a halt that a majority accepted has to stand in the way of permits under the order before it, so a councillor's guard looks at another register; a manager that may not go out after all takes viewings again. Change: Guard::allows is given what the acceptor holds; Front::resume, Front::whole; LIST_LAG is told by the module.

--- a/council/src/acceptor.rs
+++ b/council/src/acceptor.rs
@@ -108,8 +108,7 @@
         if ballot < register.promised && self.holds_to_promises() {
             return out.send(from, &Message::Refused { key, ballot, promised: register.promised });
         }
-        let held = register.accepted.as_ref().map(|(_, value)| value);
-        if !guard.allows(now, key, held, value) {
+        if !guard.allows(now, key, &self.stored, value) {
             return out.send(from, &Message::Refused { key, ballot, promised: ballot });
         }
         let register = Register { promised: ballot, accepted: Some((ballot, value.clone())) };
--- a/council/src/tests/plain.rs
+++ b/council/src/tests/plain.rs
@@ -59,7 +59,7 @@
 fn a_guard_stands_in_the_way_of_an_accept() {
     struct Shut;
     impl Guard for Shut {
-        fn allows(&self, _: Ms, _: Key, _: Option<&Value>, to: &Value) -> bool {
+        fn allows(&self, _: Ms, _: Key, _: &Stored, to: &Value) -> bool {
             to.revision != 1
         }
     }
--- a/council/src/tests/sim.rs
+++ b/council/src/tests/sim.rs
@@ -29,7 +29,7 @@
 struct Moody(bool);
 
 impl Guard for Moody {
-    fn allows(&self, _: Ms, _: Key, _: Option<&Value>, _: &Value) -> bool {
+    fn allows(&self, _: Ms, _: Key, _: &Stored, _: &Value) -> bool {
         !self.0
     }
 }
--- a/council/src/types.rs
+++ b/council/src/types.rs
@@ -104,6 +104,11 @@
         Stored { memory, ..Stored::default() }
     }
 
+    /// What was accepted last there; whether it is chosen is not known here.
+    pub fn accepted(&self, key: Key) -> Option<&Value> {
+        self.registers.get(&key)?.accepted.as_ref().map(|(_, value)| value)
+    }
+
     pub fn take(&mut self, record: &Record) {
         match record {
             Record::Register(key, register) => {
--- a/council/src/wishes.rs
+++ b/council/src/wishes.rs
@@ -3,7 +3,7 @@
 use ottersail::time::Ms;
 
 use crate::message::Message;
-use crate::types::{Key, Outcome, Record, Value};
+use crate::types::{Key, Outcome, Record, Stored, Value};
 use ottersail_members::{Life, MemberId};
 
 /// Names one wish to keep.
@@ -22,9 +22,11 @@
     fn answered(&mut self, number: u64, outcome: &Outcome);
 }
 
-/// What an acceptor asks before it accepts. Leases stand in the way of slots given to another too early.
+/// What an acceptor asks before it accepts. Leases stand in the way of slots given to another too early, an order
+/// to halt in the way of permits under the order before it.
 pub trait Guard {
-    fn allows(&self, now: Ms, key: Key, from: Option<&Value>, to: &Value) -> bool;
+    /// `held` is all that this acceptor holds: one register may stand in another's way.
+    fn allows(&self, now: Ms, key: Key, held: &Stored, to: &Value) -> bool;
 }
 
 /// No guard at all.
@@ -32,7 +34,7 @@
 pub struct Open;
 
 impl Guard for Open {
-    fn allows(&self, _: Ms, _: Key, _: Option<&Value>, _: &Value) -> bool {
+    fn allows(&self, _: Ms, _: Key, _: &Stored, _: &Value) -> bool {
         true
     }
 }
--- a/daemon/src/fleet/council/orders.rs
+++ b/daemon/src/fleet/council/orders.rs
@@ -5,16 +5,16 @@
 use super::wants::{Input, Wants};
 use super::{lines, Council, Held};
 use ottersail::time::Ms;
-use ottersail_council::{Change, Guard, Key, MemberId, Outcome, Value};
+use ottersail_council::{Change, Guard, Key, MemberId, Outcome, Stored, Value};
 use ottersail_parts::{Answer, Bucket, BucketNo, Holder, Needs, Renew, Renewals, Seat, Slot, Terms};
 
 /// The leases stand in the way of slots that would be given to another too early.
 struct Leases<'a>(Option<&'a Renewals>);
 
 impl Guard for Leases<'_> {
-    fn allows(&self, now: Ms, key: Key, from: Option<&Value>, to: &Value) -> bool {
+    fn allows(&self, now: Ms, key: Key, held: &Stored, to: &Value) -> bool {
         let Key::Slots(no) = key else { return true };
-        let from = from.map_or(&[][..], |it| &it.body);
+        let from = held.accepted(key).map_or(&[][..], |it| &it.body);
         // Without the founding's figures no slots can be told apart.
         self.0.is_some_and(|it| it.allows_body(now, BucketNo(no), from, &to.body))
     }
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -89,6 +89,19 @@
         info!(waiting = self.desk.asks.len(), watches = self.desk.watches.len(), "draining");
     }
 
+    /// It is not to go after all: viewings are taken again.
+    pub fn resume(&mut self, now: Ms) {
+        self.at(now).draining = false;
+        info!("takes viewings again");
+    }
+
+    /// Whether viewings are taken with all that is needed for it: titles and servers are told, and the first
+    /// doubts of servers have ended.
+    pub fn whole(&self, now: Ms) -> bool {
+        let Desk { draining, titles, roster, doubts_until, .. } = &self.desk;
+        !draining && titles.is_some() && !roster.is_empty() && now >= *doubts_until
+    }
+
     /// This manager's part of what all managers share; with a lease that has run out already, what is kept.
     pub fn part(&mut self, now: Ms, part: Part) {
         let slots: Vec<u64> = [part.kept].into_iter().chain(part.leased.iter().copied()).collect();
--- a/front/src/front/desk.rs
+++ b/front/src/front/desk.rs
@@ -6,6 +6,7 @@
 use crate::roster::Roster;
 use crate::timers::Timers;
 use crate::watch::Watch;
+use ottersail::brain::LIST_LAG;
 use ottersail::ids::{Rung, ServerId, ViewingId};
 use ottersail::terms::Terms;
 use ottersail::time::Ms;
@@ -57,6 +58,8 @@
     pub(super) sources: BTreeMap<(String, usize), (Vec<u8>, Weak<Source>)>,
     pub(super) sweep_sources_at: usize,
     pub(super) draining: bool,
+    /// Until then servers that started before this manager may not be listed as they are (the module's doubt).
+    pub(super) doubts_until: Ms,
     /// Probes that are out, one for a server at most.
     pub(super) probes: BTreeSet<ServerId>,
     pub(super) counts: Counts,
@@ -88,6 +91,7 @@
             draining: false,
             probes: BTreeSet::new(),
             counts: Counts::default(),
+            doubts_until: now + terms.cold.lasts.min(terms.cold.fall_window * LIST_LAG),
             part: None,
         }
     }
--- a/front/src/tape.rs
+++ b/front/src/tape.rs
@@ -64,6 +64,7 @@
     },
     TimeHasCome,
     Drain,
+    Resume,
 }
 
 impl Told {
@@ -90,6 +91,7 @@
             Told::Part { part } => front.part(now, part.clone()),
             Told::TimeHasCome => front.time_has_come(now, out),
             Told::Drain => front.drain(now),
+            Told::Resume => front.resume(now),
         }
     }
 }
--- a/front/src/tests/requests.rs
+++ b/front/src/tests/requests.rs
@@ -1,7 +1,7 @@
 //! What is taken and what is not.
 
-use super::stage::{all_set_ups, has, playing, set_up, Stage};
-use crate::{AskId, Asked};
+use super::stage::{all_set_ups, has, playing, set_up, terms, Stage};
+use crate::{AskId, Asked, Ms};
 use test_case::test_case;
 
 #[test]
@@ -13,6 +13,28 @@
     assert_eq!(stage.front.waiting(), 1);
     assert!(has(&stage.ends(&first, playing()), "reply 1 Playlist"));
     assert_eq!(stage.front.waiting(), 0);
+    stage.does(|front, now, _| front.resume(now));
+    assert_eq!(all_set_ups(&stage.asks("clips")).len(), 1, "taken again");
+}
+
+#[test]
+fn one_is_whole_that_takes_viewings_and_has_ended_its_first_doubts() {
+    let whole = |stage: &mut Stage| {
+        let mut is = false;
+        stage.does(|front, now, _| is = front.whole(now));
+        is
+    };
+    let mut warm = terms();
+    warm.cold.lasts = Ms(9_000.0);
+    assert!(!whole(&mut Stage::untold()));
+    let mut stage = Stage::of(warm).told();
+    assert!(!whole(&mut stage), "what had started before it may not be listed yet");
+    stage.now += 1_999.0;
+    assert!(!whole(&mut stage));
+    stage.now += 1.0;
+    assert!(whole(&mut stage));
+    stage.does(|front, now, _| front.drain(now));
+    assert!(!whole(&mut stage));
 }
 
 #[test]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,6 +19,7 @@
 mod tests;
 mod uplinks;
 
+pub use self::constants::LIST_LAG;
 use self::{constants::*, links::Pipe, pick::prefer};
 use crate::answers::Answers;
 use crate::census::{added, moved, put, Asker, Counted, Own, Past, RecentMean};
--- a/src/brain/constants.rs
+++ b/src/brain/constants.rs
@@ -45,7 +45,7 @@
 /// How old such a report is, over the lateness of notes.
 pub(super) const REPORT_AGE: f64 = 0.5;
 /// What had started before this manager did is listed within so many windows of the rule on cold servers.
-pub(super) const LIST_LAG: f64 = 2.0;
+pub const LIST_LAG: f64 = 2.0;
 /// Off the list for so many warm-ups, and at least so many fall windows, a server is forgotten.
 pub(super) const FORGOTTEN: f64 = 3.0;
 /// What this manager holds tells how others' part grows: with so many more that stay, up to so many times.
