--- a/releases/src/book.rs
+++ b/releases/src/book.rs
@@ -33,6 +33,8 @@
     pub serial: Serial,
     /// Ordered by member, one each.
     pub permits: Vec<Permit>,
+    /// Nobody has anything to do under that order any more: holders say nothing more of themselves.
+    pub ended: bool,
 }
 
 impl Book {
--- /dev/null
+++ b/releases/src/conductor.rs
@@ -0,0 +1,227 @@
+//! At each councillor: what it sees of the fleet, and, at the one that conducts, which permits are proposed.
+
+use crate::book::{Book, Permit};
+use crate::guards::Guards;
+use crate::notes::Note;
+use crate::order::{Name, Order, State};
+use crate::refusal::Refusal;
+use crate::seen::{Seen, Sights};
+use crate::stand::Stand;
+use crate::watch::Watch;
+use crate::wishes::{Outcome, Wishes};
+use ottersail::time::Ms;
+use ottersail_members::{Life, MemberId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Periods that a proposal may stay unanswered.
+const PATIENCE: f64 = 5.0;
+/// Periods between two looks, and from an input to the look that it brings about: several at once make one.
+const LOOK_EVERY: f64 = 1.0;
+const LOOK_AFTER: f64 = 0.1;
+/// Names remembered of members that may be gone.
+const MOST_NAMES: usize = 10_000;
+
+#[derive(Clone, Debug)]
+pub struct Conductor {
+    pub(crate) me: MemberId,
+    pub(crate) councillors: BTreeSet<MemberId>,
+    pub(crate) period: Ms,
+    pub(crate) guards: Guards,
+    pub(crate) sights: Sights,
+    pub(crate) names: BTreeMap<MemberId, Name>,
+    /// Chosen in the registers, with their revisions.
+    pub(crate) order: Option<(u64, Order)>,
+    pub(crate) book: (u64, Book),
+    /// Since when each permit of the book is known here to be chosen.
+    pub(crate) known: BTreeMap<Permit, Ms>,
+    pub(crate) conducts: bool,
+    /// The step that the release is in, and since when as many are through.
+    pub(crate) step: (usize, Option<Ms>),
+    /// Came back with another version than their permit's: not sent out again under this order.
+    pub(crate) wrong: BTreeSet<MemberId>,
+    pub(crate) watch: Watch,
+    asked: Option<(Ms, Book)>,
+    look_at: Ms,
+    pub(crate) waited: BTreeSet<Permit>,
+    refused: Option<Refusal>,
+}
+
+impl Conductor {
+    /// The period is the members'; `me` is one of the councillors.
+    pub fn born(now: Ms, me: MemberId, councillors: &[MemberId], period: Ms) -> Conductor {
+        Conductor::guarded(now, me, councillors, period, Guards::all())
+    }
+
+    pub fn guarded(now: Ms, me: MemberId, councillors: &[MemberId], period: Ms, guards: Guards) -> Conductor {
+        Conductor {
+            me,
+            councillors: councillors.iter().copied().collect(),
+            period,
+            guards,
+            sights: Sights::new(period, guards),
+            names: BTreeMap::new(),
+            order: None,
+            book: (0, Book::default()),
+            known: BTreeMap::new(),
+            conducts: false,
+            step: (0, None),
+            wrong: BTreeSet::new(),
+            watch: Watch::default(),
+            asked: None,
+            look_at: now,
+            pub(crate) waited: BTreeSet::new(),
+            refused: None,
+        }
+    }
+
+    fn soon(&mut self, now: Ms) {
+        self.look_at = self.look_at.min(now + self.period * LOOK_AFTER);
+    }
+
+    /// All that live, this one too.
+    pub fn roster(&mut self, now: Ms, living: &BTreeMap<MemberId, Seen>) {
+        self.sights.roster(living);
+        if self.names.len() + living.len() > MOST_NAMES {
+            self.names.clear();
+        }
+        self.names.extend(living.iter().map(|it| (*it.0, it.1.name.clone())));
+        self.soon(now);
+    }
+
+    pub fn stand(&mut self, now: Ms, from: MemberId, life: Life, stand: &Stand) {
+        if self.sights.stand(now, from, life, stand) {
+            self.soon(now);
+        }
+    }
+
+    /// Chosen in the order's register.
+    pub fn ordered(&mut self, now: Ms, revision: u64, order: &Order) {
+        if self.order.as_ref().is_some_and(|it| it.0 >= revision) {
+            return;
+        }
+        self.order = Some((revision, order.clone()));
+        (self.step, self.refused) = ((0, None), None);
+        self.wrong.clear();
+        self.watch = Watch::default();
+        self.soon(now);
+    }
+
+    /// Chosen in the book's register.
+    pub fn booked(&mut self, now: Ms, revision: u64, book: &Book) {
+        if self.book.0 >= revision {
+            return;
+        }
+        for permit in self.book.1.permits.iter().filter(|it| !book.permits.contains(it)) {
+            let back = self.sights.roster.get(&permit.member).filter(|it| it.life != permit.life);
+            let stand = back.and_then(|it| self.sights.told(permit.member, it.life));
+            if stand.is_some_and(|it| it.version != permit.version) {
+                self.wrong.insert(permit.member);
+            }
+        }
+        self.known.retain(|permit, _| book.permits.contains(permit));
+        self.waited.retain(|permit| book.permits.contains(permit));
+        for permit in &book.permits {
+            self.known.entry(permit.clone()).or_insert(now);
+        }
+        self.book = (revision, book.clone());
+        self.soon(now);
+    }
+
+    /// Whether this one is the lowest-numbered living councillor. Two that think so do no harm.
+    pub fn conducts(&mut self, now: Ms, yes: bool) {
+        if self.conducts != yes {
+            (self.conducts, self.step) = (yes, (0, None));
+            self.soon(now);
+        }
+    }
+
+    /// How the last own proposal ended.
+    pub fn answered(&mut self, now: Ms, outcome: Outcome) {
+        let Some((_, book)) = self.asked.take() else { return };
+        match outcome {
+            Outcome::Done { revision } => self.booked(now, revision, &book),
+            Outcome::Other { revision, book } => self.booked(now, revision, &book),
+            Outcome::Unknown => self.look_at = now + self.period * LOOK_EVERY,
+        }
+    }
+
+    /// Evidence says that the version is bad: no permit more from here, and a halt is wished until it stands.
+    pub fn verdict(&mut self, now: Ms, why: &str) {
+        self.watch.verdict.get_or_insert_with(|| why.to_string());
+        self.soon(now);
+    }
+
+    pub fn bell_at(&self) -> Ms {
+        let answer = self.asked.as_ref().map(|it| it.0 + self.period * PATIENCE);
+        let look = if self.conducts { self.look_at } else { Ms(f64::INFINITY) };
+        answer.unwrap_or(look)
+    }
+
+    pub fn bell(&mut self, now: Ms, out: &mut dyn Wishes) {
+        if self.asked.as_ref().is_some_and(|it| now >= it.0 + self.period * PATIENCE) {
+            self.asked = None;
+            out.note(Note::Unanswered);
+        }
+        if self.conducts && self.asked.is_none() && now >= self.look_at {
+            self.look_at = now + self.period * LOOK_EVERY;
+            if let Some((revision, order)) = self.order.clone() {
+                self.look(now, revision, &order, out);
+            }
+        }
+    }
+
+    fn look(&mut self, now: Ms, revision: u64, order: &Order, out: &mut dyn Wishes) {
+        self.tell_waits(now, order, out);
+        if let (Some(why), true) = (self.watch.verdict.clone(), order.state != State::Halt) {
+            if self.watch.tells() {
+                out.note(Note::Evidence { serial: order.serial, why });
+            }
+            out.halt(revision, &Order { state: State::Halt, ..order.clone() });
+        }
+        let (before, mut book) = self.book.clone();
+        let back = |it: &Permit| self.is_back(now, Some(order), it).is_ok();
+        let returns: Vec<Permit> = book.permits.iter().filter(|it| back(it)).cloned().collect();
+        book.permits.retain(|it| !returns.contains(it));
+        for permit in &returns {
+            self.tell_return(order.serial, permit, out);
+        }
+        let same = book.order == revision;
+        let changed = !returns.is_empty();
+        (book.order, book.serial) = (revision, order.serial);
+        let given = self.give(now, order, &mut book, out);
+        let ended = self.is_through(now, order, &book, same && self.book.1.ended);
+        let ends = ended != (same && self.book.1.ended);
+        book.ended = ended;
+        if ended && ends {
+            out.note(Note::Ended { serial: order.serial });
+        }
+        if changed || given || ends {
+            out.propose(before, &book);
+            self.asked = Some((now, book));
+        }
+    }
+
+    /// As many as may go, in turn.
+    fn give(&mut self, now: Ms, order: &Order, book: &mut Book, out: &mut dyn Wishes) -> bool {
+        let limit = self.limit(now, order, book, out);
+        let Some(version) = order.leads_to().filter(|_| self.watch.verdict.is_none()) else { return false };
+        let had = book.permits.len();
+        while book.permits.len() < crate::book::MOST_PERMITS {
+            let Some((member, life, asked)) = self.next(now, order, book, limit) else { break };
+            let permit = Permit { member, life, asked, version: version.clone() };
+            let mut more = book.clone();
+            let place = more.permits.partition_point(|it| it.member < member);
+            more.permits.insert(place, permit.clone());
+            if let Err(refusal) = self.has_room(now, order, &more, &[&permit]) {
+                if self.refused.as_ref() != Some(&refusal) {
+                    out.note(Note::Refused(refusal.clone()));
+                    self.refused = Some(refusal);
+                }
+                break;
+            }
+            *book = more;
+            out.note(Note::Permits { serial: order.serial, member, version: version.clone() });
+        }
+        book.permits.len() > had
+    }
+}
--- /dev/null
+++ b/releases/src/tests.rs
@@ -0,0 +1,1 @@
+//! Codecs and rules one by one; histories of whole fleets in true time.
