--- a/releases/src/conductor.rs
+++ b/releases/src/conductor.rs
@@ -69,7 +69,7 @@
             watch: Watch::default(),
             asked: None,
             look_at: now,
-            pub(crate) waited: BTreeSet::new(),
+            waited: BTreeSet::new(),
             refused: None,
         }
     }
