Releases carried by the daemon: registers, stands, permits used, and the exit for whoever supervises

Change: fleet/council/releases.rs carries the machines of releases/ over the council; a councillor's guard judges orders and books; a manager that uses a permit stops taking, looks at the clock again, lets play out, writes the next version and ends with code 3.

--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -42,6 +42,12 @@
     Thread { name: String, why: io::Error },
     #[error("signals can't be taken: {why}; raise the limit on open files (ulimit -n)")]
     Signals { why: io::Error },
+    #[error(
+        "{}: the version to come back with can't be written: {why}; give [releases] next a file in a folder that \
+         can be written",
+        file.display()
+    )]
+    Next { file: PathBuf, why: io::Error },
 }
 
 /// A manager of the live platform that can't start, or a configuration that is not taken over.
--- a/daemon/src/fleet/council.rs
+++ b/daemon/src/fleet/council.rs
@@ -10,6 +10,7 @@
 mod lines;
 mod orders;
 mod post;
+mod releases;
 mod seat;
 mod share;
 #[cfg(test)]
@@ -27,6 +28,7 @@
 use ottersail_members::{Known, Life, MemberId, State, Topic};
 use ottersail_parts::{Figures, Holder, Needs, Renewals, Rider, Terms};
 use post::{Out, Post, NEED, REVISIONS};
+use releases::Releases;
 use seat::Seat;
 use share::Share;
 use std::cell::Cell;
@@ -56,6 +58,9 @@
     seed: u64,
     terms: CouncilTerms,
     seat: Seat,
+    /// Name and zone.
+    home: (String, String),
+    releases: Option<Releases>,
     /// Once the founding's figures are known.
     held: Option<Held>,
     share: Share,
@@ -94,6 +99,10 @@
         let cold = manager.terms.cold.fall_window;
         let number = (manager.terms.me.0, manager.terms.managers);
         lines::begins(&told.councillors, &seat);
+        let born = |it: &crate::settings::releases::Releases| {
+            Releases::born(now, me, it.version.clone(), (&terms.councillors, members.period))
+        };
+        let releases = manager.releases.as_ref().map(born);
         let council = Council {
             me,
             names: told.councillors.iter().map(|it| (id(it), it.clone())).collect(),
@@ -101,6 +110,8 @@
             seed,
             terms,
             seat,
+            home: (members.name.clone(), manager.terms.zone.to_string()),
+            releases,
             held: None,
             share: Share::new(number, told.slots, cold),
             asked: BTreeMap::new(),
@@ -121,7 +132,8 @@
 
     pub fn bell_at(&self) -> Ms {
         let holder = self.held.as_ref().map_or(Ms(f64::INFINITY), |it| it.holder.bell_at());
-        self.look_at.min(self.seat.bell_at()).min(holder).min(self.share.bell_at())
+        let releases = self.releases.as_ref().map_or(Ms(f64::INFINITY), Releases::bell_at);
+        self.look_at.min(self.seat.bell_at()).min(holder).min(self.share.bell_at()).min(releases)
     }
 
     /// What the members believe, and what they carry.
@@ -135,7 +147,8 @@
             return;
         }
         self.look_at = now + Ms(f64::from(self.own.lease_ms)) * LOOKS;
-        let living: Vec<_> = all.filter(|it| matches!(it.1.state, State::Alive | State::Suspect)).collect();
+        let up = |it: &(&MemberId, &Known)| matches!(it.1.state, State::Alive | State::Suspect);
+        let living: Vec<_> = all.filter(up).collect();
         self.alive = living.iter().map(|(id, known)| (**id, known.life)).collect();
         let set = self.alive.keys().copied().chain([self.me.0]).collect();
         self.seat.living(&set);
@@ -158,6 +171,7 @@
         } else if self.asked.is_empty() {
             self.ask(now, keys::Ask::Head, council::Change::Read, &mut wants);
         }
+        self.release(now, living.iter().copied(), &mut wants);
         out.riders.push((REVISIONS, self.seat.follower().rider()));
         self.settle(now, wants, out);
     }
@@ -215,14 +229,20 @@
 
     /// Own messages come back in; the rest goes out.
     fn sort(&mut self, wants: Wants, queue: &mut VecDeque<Input>, out: &mut Outs) {
-        for (to, post) in wants.posts {
+        let mut posts = wants.posts;
+        wants.notes.into_iter().for_each(|it| self.figures.count(it));
+        wants.told.iter().for_each(lines::note);
+        for stand in wants.stands {
+            let post = |to: &MemberId| (*to, Post::Stand(self.me.1, stand.clone()));
+            posts.extend(self.terms.councillors.iter().map(post));
+        }
+        for (to, post) in posts {
             if to == self.me.0 {
                 queue.push_back(Input::Heard(to, post));
             } else if let Some(bytes) = post.bytes() {
                 out.tells.push(Out { to, topic: post.topic(), bytes });
             }
         }
-        wants.notes.into_iter().for_each(|it| self.figures.count(it));
         out.keeps.extend(wants.keeps);
         out.shrunk |= wants.shrunk;
         queue.extend(wants.inputs);
--- a/daemon/src/fleet/council/carry.rs
+++ b/daemon/src/fleet/council/carry.rs
@@ -7,17 +7,20 @@
 use ottersail_front::tape::Told;
 use ottersail_members::{MemberId, Topic};
 use ottersail_net::Timer;
+use ottersail_releases::{Counts, Name, Order};
 use prometheus_client::registry::Registry;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tracing::error;
+use tracing::{error, info, warn};
 
 /// What a fleet holds of it.
 pub(in crate::fleet) struct Counsel {
     council: RefCell<Option<Council>>,
     keeper: Option<Keeper>,
     owner: Weak<Owner>,
+    /// A permit is used: the version to come back with.
+    out: (async_channel::Sender<Name>, async_channel::Receiver<Name>),
     armed: Cell<f64>,
     rearm: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -29,6 +32,7 @@
             council: RefCell::new(council),
             keeper,
             owner: Rc::downgrade(owner),
+            out: async_channel::bounded(1),
             armed: Cell::new(f64::INFINITY),
             rearm: async_channel::bounded(1),
         }
@@ -62,11 +66,56 @@
         while shrunk {
             shrunk = self.with_council(|it, now, outs| it.shrunk(now, outs)).unwrap_or(false);
         }
+        self.go_out();
         if self.counsel.bell_at() < self.counsel.armed.get() {
             _ = self.counsel.rearm.0.try_send(());
         }
     }
 
+    /// Uses a permit, if there is one: first nothing more is taken, then the clock is looked at again. Guards
+    /// against a process that stands still between its permit and going, past the permit's end.
+    fn go_out(&self) {
+        let going = self.counsel.council.borrow().as_ref().and_then(|it| it.wants_out(self.now()));
+        let (Some(going), Some(owner)) = (going, self.counsel.owner.upgrade()) else { return };
+        owner.tell(&Told::Drain);
+        let now = self.now();
+        let in_time = |it: &mut Council| it.still_in_time(now, &going);
+        if self.counsel.council.borrow_mut().as_mut().is_some_and(in_time) {
+            info!(target: "releases", version = %going.version, "goes out by its permit");
+            _ = self.counsel.out.0.try_send(going.version);
+        } else {
+            warn!(target: "releases", "a permit ran out before it was used: viewings are taken again");
+            owner.tell(&Told::Resume);
+        }
+    }
+
+    /// Comes back once this manager goes out by a permit, with the version to come back with.
+    pub async fn goes_out(&self) -> Option<Name> {
+        self.counsel.out.1.recv().await.ok()
+    }
+
+    /// An order of this manager's own file.
+    pub fn order(&self, order: Order) {
+        self.council(|it, _, _| it.order(order));
+    }
+
+    /// This manager's state for the councillors.
+    fn stands(&self, council: &mut Council, now: Ms) {
+        let Some(owner) = self.counsel.owner.upgrade() else { return };
+        let clock = ottersail_front::Ms(owner.clock.now());
+        let (whole, it) = owner.front(|it| (it.whole(clock), it.counts()));
+        let (set_ups, set_up_ms) = owner.set_ups();
+        let counts = Counts {
+            asked: it.asked,
+            blocked: it.blocked,
+            aborted: it.aborted,
+            broken_off: it.broken_off,
+            set_ups,
+            set_up_ms,
+        };
+        council.stands(now, whole, counts);
+    }
+
     /// Whether the module was told less.
     fn with_council(&self, input: impl FnOnce(&mut Council, Ms, &mut Outs)) -> Option<bool> {
         let mut outs = Outs::default();
@@ -139,6 +188,7 @@
             .await;
             if self.counsel.bell_at() <= self.now().0 {
                 self.council(|it, now, outs| {
+                    self.stands(it, now);
                     it.bell(now, outs);
                     it.roster(now, self.members.borrow().roster(), outs);
                 });
--- a/daemon/src/fleet/council/keys.rs
+++ b/daemon/src/fleet/council/keys.rs
@@ -43,6 +43,8 @@
     Head,
     Read(BucketNo),
     Propose(BucketNo),
+    /// A register of releases.
+    Order(Key),
 }
 
 impl Ask {
@@ -50,6 +52,7 @@
         match self {
             Ask::Head => Key::Head,
             Ask::Read(no) | Ask::Propose(no) => Key::Slots(no.0),
+            Ask::Order(key) => key,
         }
     }
 
--- a/daemon/src/fleet/council/lines.rs
+++ b/daemon/src/fleet/council/lines.rs
@@ -4,6 +4,7 @@
 use super::seat::Seat;
 use ottersail_council::{Key, Value};
 use ottersail_parts::PartsError;
+use ottersail_releases::{Note, Order, Refusal};
 use tracing::{error, info, warn};
 
 pub(super) fn key(it: Key) -> String {
@@ -56,3 +57,41 @@
 pub(super) fn trouble(trouble: &PartsError) {
     error!(target: "parts", %trouble, "a register can't be read");
 }
+
+pub(super) fn unread(it: Key) {
+    error!(
+        target: "releases", key = key(it),
+        "the register is of a version that is not known here; bring this program to theirs"
+    );
+}
+
+pub(super) fn ordered(revision: u64, order: &Order) {
+    let Order { serial, name, version, state, .. } = order;
+    info!(target: "releases", revision, serial = serial.0, %name, %version, ?state, "ordered");
+}
+
+/// The order of this manager's file against what stands.
+pub(super) fn file(file: &Order, stands: &Order) {
+    let (serial, stands_serial) = (file.serial.0, stands.serial.0);
+    if file == stands {
+        info!(target: "releases", serial, "the order of the file stands");
+    } else {
+        warn!(
+            target: "releases", serial, stands = stands_serial,
+            "another order stands: nothing done; write a serial above the one that stands into the file"
+        );
+    }
+}
+
+pub(super) fn kept_out(it: Key, refusal: &Refusal) {
+    info!(target: "releases", key = key(it), %refusal, "kept out of the register");
+}
+
+pub(super) fn note(it: &Note) {
+    match it {
+        Note::Waits { .. } | Note::OtherVersion { .. } | Note::Evidence { .. } => {
+            warn!(target: "releases", "{it}");
+        }
+        _ => info!(target: "releases", "{it}"),
+    }
+}
--- a/daemon/src/fleet/council/orders.rs
+++ b/daemon/src/fleet/council/orders.rs
@@ -2,18 +2,24 @@
 
 use super::keys::{set, Ask, Head};
 use super::post::Post;
+use super::releases::{allows, Releases};
 use super::wants::{Input, Wants};
 use super::{lines, Council, Held};
 use ottersail::time::Ms;
 use ottersail_council::{Change, Guard, Key, MemberId, Outcome, Stored, Value};
 use ottersail_parts::{Answer, Bucket, BucketNo, Holder, Needs, Renew, Renewals, Seat, Slot, Terms};
 
-/// The leases stand in the way of slots that would be given to another too early.
-struct Leases<'a>(Option<&'a Renewals>);
+/// The leases stand in the way of slots that would be given to another too early, and what a councillor sees in
+/// the way of permits.
+struct Leases<'a>(Option<&'a Renewals>, Option<&'a Releases>);
 
 impl Guard for Leases<'_> {
     fn allows(&self, now: Ms, key: Key, held: &Stored, to: &Value) -> bool {
-        let Key::Slots(no) = key else { return true };
+        let no = match key {
+            Key::Head => return true,
+            Key::Slots(no) => no,
+            Key::Order(_) => return allows(now, self.1, key, held, to),
+        };
         let from = held.accepted(key).map_or(&[][..], |it| &it.body);
         // Without the founding's figures no slots can be told apart.
         self.0.is_some_and(|it| it.allows_body(now, BucketNo(no), from, &to.body))
@@ -22,13 +28,16 @@
 
 impl Council {
     pub(super) fn step(&mut self, now: Ms, input: Input, wants: &mut Wants) {
-        let guard = Leases(self.held.as_ref().map(|it| &it.renewals));
+        let guard = Leases(self.held.as_ref().map(|it| &it.renewals), self.releases.as_ref());
         match input {
             Input::Bell => {
                 self.seat.bell(now, &guard, wants);
                 if let Some(held) = &mut self.held {
                     held.holder.bell(now, wants);
                 }
+                if let Some(it) = &mut self.releases {
+                    it.bell(now, wants);
+                }
             }
             Input::Heard(from, Post::Council(it)) => self.seat.message(now, from, &it, &guard, wants),
             Input::Heard(from, Post::Renew(it)) => self.renew(now, from, &it, wants),
@@ -37,6 +46,7 @@
                     held.holder.renewed(now, from, &it, wants);
                 }
             }
+            Input::Heard(from, Post::Stand(life, it)) => self.stood(now, from, life, &it),
             Input::Heard(from, Post::Release(it)) => {
                 if let Some(held) = &mut self.held {
                     held.renewals.release(now, from, &it);
@@ -49,11 +59,14 @@
             Input::Propose(no, revision, body) => {
                 self.ask(now, Ask::Propose(no), set(revision, body), wants);
             }
+            Input::Put(key, revision, body) => {
+                self.ask(now, Ask::Order(key), set(revision, body), wants);
+            }
         }
     }
 
     pub(super) fn ask(&mut self, now: Ms, what: Ask, change: Change, wants: &mut Wants) {
-        let guard = Leases(self.held.as_ref().map(|it| &it.renewals));
+        let guard = Leases(self.held.as_ref().map(|it| &it.renewals), self.releases.as_ref());
         self.number += 1;
         self.asked.insert(self.number, what);
         self.seat.ask(now, self.number, (what.key(), change), &guard, wants);
@@ -79,6 +92,7 @@
         lines::chosen(key, value);
         match (key, &mut self.held) {
             (Key::Head, _) => self.founded(now, value),
+            (Key::Order(_), _) => self.ordered(now, key, value, wants),
             (Key::Slots(no), Some(held)) => {
                 if let Err(trouble) = held.holder.learned(BucketNo(no), value.revision, &value.body, wants) {
                     lines::trouble(&trouble);
@@ -120,6 +134,7 @@
                 Outcome::Now(None) => self.ask(now, Ask::Head, set(0, self.own.bytes()), wants),
                 Outcome::Unanswered | Outcome::Turned => {}
             },
+            Ask::Order(key) => self.put(now, key, &outcome, wants),
             Ask::Read(no) | Ask::Propose(no) => {
                 let answer = ask.answer(outcome);
                 // What came too late to be waited for is no answer to what was asked since.
--- a/daemon/src/fleet/council/post.rs
+++ b/daemon/src/fleet/council/post.rs
@@ -1,8 +1,9 @@
 //! Messages of the council and the parts as bytes of a topic.
 
 use ottersail_council::Message;
-use ottersail_members::{MemberId, Topic};
+use ottersail_members::{Life, MemberId, Topic};
 use ottersail_parts::{Release, Renew, Renewed};
+use ottersail_releases::Stand;
 use serde::de::DeserializeOwned;
 
 /// Topic 0 is the door's.
@@ -13,6 +14,7 @@
 /// Riders: the revisions that a member follows, and what it needs.
 pub(super) const REVISIONS: Topic = Topic(5);
 pub(super) const NEED: Topic = Topic(6);
+const STAND: Topic = Topic(7);
 
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Post {
@@ -20,6 +22,7 @@
     Renew(Renew),
     Renewed(Renewed),
     Release(Release),
+    Stand(Life, Stand),
 }
 
 /// Bytes for another member.
@@ -37,6 +40,7 @@
             Post::Renew(_) => RENEW,
             Post::Renewed(_) => RENEWED,
             Post::Release(_) => RELEASE,
+            Post::Stand(..) => STAND,
         }
     }
 
@@ -46,6 +50,7 @@
             Post::Renew(it) => postcard::to_allocvec(it),
             Post::Renewed(it) => postcard::to_allocvec(it),
             Post::Release(it) => postcard::to_allocvec(it),
+            Post::Stand(life, it) => postcard::to_allocvec(&(life, it)),
         }
         .ok()
     }
@@ -60,6 +65,7 @@
             RENEW => one(bytes).map(Post::Renew),
             RENEWED => one(bytes).map(Post::Renewed),
             RELEASE => one(bytes).map(Post::Release),
+            STAND => one(bytes).map(|(life, it)| Post::Stand(life, it)),
             _ => None,
         }
     }
--- /dev/null
+++ b/daemon/src/fleet/council/releases.rs
@@ -0,0 +1,233 @@
+//! Releases over the council: the machines of `ottersail-releases` with their registers and messages. Nothing is
+//! decided here.
+
+use super::keys::{set, Ask};
+use super::post::Post;
+use super::wants::Wants;
+use super::{lines, Council};
+use ottersail::time::Ms;
+use ottersail_council::{Key, MemberId, Message, Outcome, Stored, Value};
+use ottersail_members::{Known, Life, State};
+use ottersail_releases::{
+    follows, Book, Conductor, Counts, Going, Guards, Holder, Name, Order, Outcome as Proposed, Presence,
+    Seen, Stand,
+};
+use std::collections::BTreeMap;
+
+/// The registers of the order about managers, and of its permits.
+pub(super) const ORDER: Key = Key::Order(0);
+pub(super) const BOOK: Key = Key::Order(2);
+
+pub(super) struct Releases {
+    pub holder: Holder,
+    /// A councillor's.
+    pub conductor: Option<Conductor>,
+    /// The order of this manager's own file, until it stands or cannot.
+    pub file: Option<Order>,
+    /// What stands, as far as it is known here.
+    order: Option<(u64, Order)>,
+}
+
+impl Releases {
+    pub fn born(
+        now: Ms,
+        me: (MemberId, Life),
+        version: Name,
+        (councillors, period): (&[MemberId], Ms),
+    ) -> Releases {
+        let conductor = councillors.contains(&me.0).then(|| Conductor::born(now, me.0, councillors, period));
+        Releases { holder: Holder::born(now, me, version, period), conductor, file: None, order: None }
+    }
+
+    pub fn bell_at(&self) -> Ms {
+        let conductor = self.conductor.as_ref().map_or(Ms(f64::INFINITY), Conductor::bell_at);
+        self.holder.bell_at().min(conductor)
+    }
+
+    pub fn bell(&mut self, now: Ms, wants: &mut Wants) {
+        self.holder.bell(now, wants);
+        if let Some(it) = &mut self.conductor {
+            it.bell(now, wants);
+        }
+    }
+
+    /// All that live, this one too, as the members believe.
+    fn roster<'a>(
+        &mut self,
+        now: Ms,
+        me: (MemberId, Seen),
+        all: impl Iterator<Item = (&'a MemberId, &'a Known)>,
+        conducts: bool,
+    ) {
+        let Some(conductor) = &mut self.conductor else { return };
+        let seen = |known: &Known| {
+            let state = match known.state {
+                State::Alive => Presence::Alive,
+                State::Suspect => Presence::Suspect,
+                State::Dead | State::Left => return None,
+            };
+            Some(Seen {
+                life: known.life,
+                name: Name::new(&known.name)?,
+                zone: Name::new(&known.site),
+                state,
+            })
+        };
+        let mut living: BTreeMap<_, _> = all.filter_map(|it| Some((*it.0, seen(it.1)?))).collect();
+        living.insert(me.0, me.1);
+        conductor.roster(now, &living);
+        conductor.conducts(now, conducts);
+    }
+}
+
+/// Whether this councillor lets that value into a register of releases. Without `[releases]` it can judge none,
+/// and lets none in.
+pub(super) fn allows(now: Ms, releases: Option<&Releases>, key: Key, held: &Stored, to: &Value) -> bool {
+    let Some(conductor) = releases.and_then(|it| it.conductor.as_ref()) else { return false };
+    let ordered = held.accepted(ORDER).and_then(|it| Some((it.revision, Order::read(&it.body)?)));
+    let verdict = match key {
+        ORDER => {
+            Order::read(&to.body).map(|to| follows(ordered.as_ref().map(|it| &it.1), &to, Guards::all()))
+        }
+        BOOK => {
+            let from = held.accepted(BOOK).and_then(|it| Book::read(&it.body));
+            let order = ordered.as_ref().map(|it| (it.0, &it.1));
+            Book::read(&to.body).map(|to| conductor.allows(now, order, from.as_ref(), &to))
+        }
+        _ => None,
+    };
+    match verdict {
+        Some(Ok(())) => true,
+        Some(Err(refusal)) => {
+            lines::kept_out(key, &refusal);
+            false
+        }
+        None => false,
+    }
+}
+
+impl Council {
+    /// A register of releases has a newer value.
+    pub(super) fn ordered(&mut self, now: Ms, key: Key, value: &Value, wants: &mut Wants) {
+        let Some(it) = &mut self.releases else { return };
+        match key {
+            ORDER => {
+                let Some(order) = Order::read(&value.body) else { return lines::unread(key) };
+                if it.order.as_ref().is_some_and(|it| it.0 >= value.revision) {
+                    return;
+                }
+                lines::ordered(value.revision, &order);
+                it.holder.ordered(now, value.revision, &order);
+                if let Some(conductor) = &mut it.conductor {
+                    conductor.ordered(now, value.revision, &order);
+                }
+                it.order = Some((value.revision, order));
+            }
+            BOOK => {
+                let Some(book) = Book::read(&value.body) else { return lines::unread(key) };
+                it.holder.booked(now, value.revision, &book);
+                let Some(conductor) = &mut it.conductor else { return };
+                conductor.booked(now, value.revision, &book);
+                // Permits run out: whoever has one is told at once, and not by gossip.
+                for permit in book.permits.iter().filter(|it| it.member != self.me.0) {
+                    let learned = Message::Learned { key, value: value.clone() };
+                    wants.posts.push((permit.member, Post::Council(learned)));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn stood(&mut self, now: Ms, from: MemberId, life: Life, stand: &Stand) {
+        if let Some(it) = self.releases.as_mut().and_then(|it| it.conductor.as_mut()) {
+            it.stand(now, from, life, stand);
+        }
+    }
+
+    /// What came of a change of a register of releases.
+    pub(super) fn put(&mut self, now: Ms, key: Key, outcome: &Outcome, wants: &mut Wants) {
+        let stands = match outcome {
+            Outcome::Done(it) | Outcome::Now(Some(it)) => Some(it),
+            _ => None,
+        };
+        if let (BOOK, Some(conductor)) = (key, self.releases.as_mut().and_then(|it| it.conductor.as_mut())) {
+            let read = stands.and_then(|it| Some((it.revision, Book::read(&it.body)?)));
+            conductor.answered(
+                now,
+                match (outcome, read) {
+                    (Outcome::Done(it), _) => Proposed::Done { revision: it.revision },
+                    (Outcome::Now(_), Some((revision, book))) => Proposed::Other { revision, book },
+                    _ => Proposed::Unknown,
+                },
+            );
+        }
+        if let Some(value) = stands {
+            self.ordered(now, key, value, wants);
+        }
+        if key == ORDER {
+            self.file_stands(outcome);
+        }
+    }
+
+    /// The order of this manager's own file stands, or cannot: told once.
+    fn file_stands(&mut self, outcome: &Outcome) {
+        let Some(it) = &mut self.releases else { return };
+        let (Some(file), Some((_, stands))) = (&it.file, &it.order) else { return };
+        if matches!(outcome, Outcome::Done(_) | Outcome::Now(_)) && stands.serial >= file.serial {
+            lines::file(file, stands);
+            it.file = None;
+        }
+    }
+
+    /// At each look: this manager's state, the roster, and the own file if it waits.
+    pub(super) fn release<'a>(
+        &mut self,
+        now: Ms,
+        all: impl Iterator<Item = (&'a MemberId, &'a Known)>,
+        wants: &mut Wants,
+    ) {
+        let conducts = self.seat.follower().preferred() == Some(self.me.0) && self.seat.sound().is_some();
+        let asked = self.asked.values().any(|it| *it == Ask::Order(ORDER));
+        let (name, zone) = &self.home;
+        let (Some(it), Some(name)) = (&mut self.releases, Name::new(name)) else { return };
+        let me = Seen { life: self.me.1, name, zone: Name::new(zone), state: Presence::Alive };
+        it.roster(now, (self.me.0, me), all, conducts);
+        let Some(file) = it.file.clone().filter(|_| !asked) else { return };
+        match &it.order {
+            Some((_, stands)) if stands.serial >= file.serial => {
+                lines::file(&file, stands);
+                it.file = None;
+            }
+            stands => {
+                let revision = stands.as_ref().map_or(0, |it| it.0);
+                self.ask(now, Ask::Order(ORDER), set(revision, file.bytes()), wants);
+            }
+        }
+    }
+
+    /// Whether this manager takes viewings with all that it needs, and how they ended.
+    pub fn stands(&mut self, now: Ms, whole: bool, counts: Counts) {
+        if let Some(it) = &mut self.releases {
+            it.holder.whole(now, whole);
+            it.holder.counts(now, counts);
+        }
+    }
+
+    /// A permit to use.
+    pub fn wants_out(&self, now: Ms) -> Option<Going> {
+        self.releases.as_ref()?.holder.wants_out(now)
+    }
+
+    /// Asked once nothing more is taken.
+    pub fn still_in_time(&mut self, now: Ms, going: &Going) -> bool {
+        self.releases.as_mut().is_some_and(|it| it.holder.still_in_time(now, going))
+    }
+
+    /// The order of this manager's own file.
+    pub fn order(&mut self, file: Order) {
+        if let Some(it) = &mut self.releases {
+            it.file = Some(file);
+            self.look_at = Ms(0.0);
+        }
+    }
+}
--- a/daemon/src/fleet/council/wants.rs
+++ b/daemon/src/fleet/council/wants.rs
@@ -2,9 +2,11 @@
 
 use super::keeper::Wish;
 use super::post::Post;
+use super::releases::{BOOK, ORDER};
 use ottersail_council::{Key, Message, Outcome, Record, Token, Value};
 use ottersail_members::MemberId;
 use ottersail_parts::{BucketNo, Note, Part, Release, Renew};
+use ottersail_releases::{Book, Note as Told, Order, Stand};
 
 /// What a machine is told next.
 #[derive(Clone, Debug)]
@@ -16,6 +18,7 @@
     Answered(u64, Outcome),
     Read(BucketNo),
     Propose(BucketNo, u64, Vec<u8>),
+    Put(Key, u64, Vec<u8>),
 }
 
 #[derive(Debug, Default)]
@@ -24,6 +27,9 @@
     pub keeps: Vec<Wish>,
     pub inputs: Vec<Input>,
     pub notes: Vec<Note>,
+    /// To every councillor.
+    pub stands: Vec<Stand>,
+    pub told: Vec<Told>,
     pub shrunk: bool,
 }
 
@@ -77,3 +83,21 @@
         self.notes.push(note);
     }
 }
+
+impl ottersail_releases::Wishes for Wants {
+    fn propose(&mut self, if_revision: u64, book: &Book) {
+        self.inputs.push(Input::Put(BOOK, if_revision, book.bytes()));
+    }
+
+    fn halt(&mut self, if_revision: u64, order: &Order) {
+        self.inputs.push(Input::Put(ORDER, if_revision, order.bytes()));
+    }
+
+    fn stand(&mut self, stand: &Stand) {
+        self.stands.push(stand.clone());
+    }
+
+    fn note(&mut self, note: Told) {
+        self.told.push(note);
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -98,6 +98,9 @@
     },
 }
 
+/// A manager went out by a permit: whoever supervises it starts the version that `[releases] next` names.
+const RELEASED: u8 = 3;
+
 fn main() -> ExitCode {
     let line = Line::parse();
     let quiet = !matches!(line.job, Job::Run { .. } | Job::Node);
@@ -117,7 +120,8 @@
         Job::Run { settings, record, seed, stall, with_parent, pick } => {
             let asked = run::Asked { record, seed, stall, with_parent, pick: pick.0 };
             match run::run(settings, asked) {
-                Ok(()) => ExitCode::SUCCESS,
+                Ok(run::Ended::Told) => ExitCode::SUCCESS,
+                Ok(run::Ended::Released) => ExitCode::from(RELEASED),
                 Err(trouble) => complain(&trouble),
             }
         }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +24,8 @@
     played: Histogram,
     refused: Histogram,
     set_up: Histogram,
+    /// How many set-ups, and their microseconds, for what members tell one another.
+    sums: Arc<(AtomicU64, AtomicU64)>,
 }
 
 impl Default for Times {
@@ -32,6 +34,7 @@
             played: Histogram::new(BOUNDS),
             refused: Histogram::new(BOUNDS),
             set_up: Histogram::new(BOUNDS),
+            sums: Arc::default(),
         }
     }
 }
@@ -45,6 +48,13 @@
     /// A server answered a set-up, or it failed.
     pub fn set_up(&self, took: Duration) {
         self.set_up.observe(took.as_secs_f64());
+        self.sums.0.fetch_add(1, Ordering::Relaxed);
+        self.sums.1.fetch_add(took.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// Set-ups so far, and all their times in milliseconds.
+    pub fn set_ups(&self) -> (u64, u64) {
+        (self.sums.0.load(Ordering::Relaxed), self.sums.1.load(Ordering::Relaxed) / 1_000)
     }
 }
 
--- a/daemon/src/owner.rs
+++ b/daemon/src/owner.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Set-ups so far, and all their times in milliseconds.
+    pub fn set_ups(&self) -> (u64, u64) {
+        self.times.set_ups()
+    }
+
     /// Ends the record, since what follows could not be played back.
     pub fn end_tape(&self) {
         *self.tape.borrow_mut() = None;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 mod nothing;
 mod process;
+mod release;
 mod start;
 
 use crate::error::RunError;
@@ -80,11 +81,20 @@
     pub pick: Option<Pick>,
 }
 
+/// Why a manager ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// By a signal.
+    Told,
+    /// By a permit: to be started again with the version that the file `next` names.
+    Released,
+}
+
 /// Runs a manager; comes back after SIGTERM or SIGINT, once all that was taken has its answer.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn run(path: PathBuf, asked: Asked) -> Result<(), RunError> {
+pub fn run(path: PathBuf, asked: Asked) -> Result<Ended, RunError> {
     let Asked { record, seed, stall, with_parent, pick } = asked;
     if with_parent {
         end_with_parent()?;
@@ -121,13 +131,20 @@
     block_on(exec.run(async {
         let mut signals = Signals::new([Heard::Term, Heard::Int, Heard::Hup, Heard::Usr1])
             .map_err(|why| RunError::Signals { why })?;
-        while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Heard::Hup) => reload(&path, &manager, &running),
-                Ok(Heard::Usr1) => stand_still(&running, stall),
-                Ok(_) => break,
-                Err(trouble) => warn!(%trouble, "signal"),
+        let mut told = async || {
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    Ok(Heard::Hup) => reload(&path, &manager, &running),
+                    Ok(Heard::Usr1) => stand_still(&running, stall),
+                    Ok(_) => break,
+                    Err(trouble) => warn!(%trouble, "signal"),
+                }
             }
+            None
+        };
+        let released = futures_lite::future::or(told(), release::goes_out(&owner)).await;
+        if let (Some(_), Some(it)) = (&released, &manager.releases) {
+            futures_lite::future::or(told(), release::play_out(&owner, it.play_out)).await;
         }
         owner.tell(&Told::Drain);
         if let Some(fleet) = owner.fleet.get() {
@@ -146,7 +163,10 @@
         })
         .await;
         info!("ended");
-        Ok(())
+        match (released, &manager.releases) {
+            (Some(version), Some(it)) => release::write_next(&it.next, &version).map(|()| Ended::Released),
+            _ => Ok(Ended::Told),
+        }
     }))
 }
 
--- /dev/null
+++ b/daemon/src/run/release.rs
@@ -0,0 +1,59 @@
+//! A manager that goes out by a permit of the fleet: lets play what it holds, and names what to come back with.
+
+use crate::error::RunError;
+use crate::owner::Owner;
+use ottersail_front::Ms;
+use ottersail_net::Timer;
+use ottersail_releases::Name;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Comes back with the version once a permit is used; never without releases.
+pub(super) async fn goes_out(owner: &Rc<Owner>) -> Option<Name> {
+    match owner.fleet.get() {
+        Some(fleet) => fleet.goes_out().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until nothing plays here any more, but no longer than told.
+pub(super) async fn play_out(owner: &Rc<Owner>, most: Ms) -> Option<Name> {
+    let over = async {
+        while owner.front(|it| it.viewings()) > 0 {
+            Timer::after(LOOK).await;
+        }
+    };
+    let most = Timer::after(Duration::from_secs_f64(most.0 / 1e3));
+    futures_lite::future::or(over, async {
+        most.await;
+    })
+    .await;
+    None
+}
+
+/// Whole or not at all: whoever starts this manager again may look at any time.
+pub(super) fn write_next(file: &Path, version: &Name) -> Result<(), RunError> {
+    let wrong = |why| RunError::Next { file: file.to_path_buf(), why };
+    let beside = file.with_extension("writing");
+    std::fs::write(&beside, format!("{version}\n")).map_err(wrong)?;
+    std::fs::rename(&beside, file).map_err(wrong)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_next_version_is_written_and_a_folder_that_is_not_there_is_told() {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("next");
+        let version = Name::new("2.0").unwrap();
+        write_next(&file, &version).unwrap();
+        assert_eq!(std::fs::read_to_string(&file).unwrap(), "2.0\n");
+        let told = write_next(&folder.path().join("none/next"), &version).unwrap_err().to_string();
+        assert!(told.contains("none/next"), "{told}");
+    }
+}
