releases: what to do with the order in a file against the one agreed

An operator's file is read again at any start, so a reading must do nothing twice, and the file that ordered a release must not undo its halt by evidence. Added: serials.rs, which by serial alone says put, same, older, differs (with the keys) and after the council's answer taken, again, lost; State::Stopped, the halt by evidence under the same serial, which only a greater serial lifts; a go that lost the race to such a halt is held back, halt and back are put again.

--- a/releases/src/lib.rs
+++ b/releases/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod book;
 mod order;
+mod serials;
 mod stand;
 
 pub use book::{Book, Permit, Stamp, MOST_PERMITS};
 pub use order::{Bounds, Fault, Halts, Name, Order, Serial, State, Step, Who};
 pub use ottersail::time::Ms;
 pub use ottersail_members::{Life, MemberId};
+pub use serials::{answered, given, stopped, Answered, Given, Held};
 pub use stand::{Counts, Stand};
--- a/releases/src/order.rs
+++ b/releases/src/order.rs
@@ -100,6 +100,9 @@
     Halt,
     /// Those through are taken back, the last first.
     Back,
+    /// Halted by evidence: as `Halt`, under the serial that said go. No file says so, and the same file read
+    /// again does not lift it; a greater serial does.
+    Stopped,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -127,29 +130,31 @@
 pub enum Fault {
     #[error("it has no steps; write steps = one, 5%, 25%, all")]
     NoSteps,
-    #[error("it has {0} steps; {MOST_STEPS} are the most, leave some out")]
+    #[error("it has {0} steps; {MOST_STEPS} are the most, take some out")]
     Steps(usize),
     #[error("{0} zones are named; {MOST_ZONES} are the most, name those that need a bound")]
     Zones(usize),
     #[error(
-        "{0} names are struck; {MOST_STRUCK} are the most at once, strike the others with the next serial"
+        "{0} names are struck; {MOST_STRUCK} are the most at once, write the others with the next serial"
     )]
     Struck(usize),
-    #[error("most-out of 0 lets nobody go; write 1 at least, or state = halt")]
+    #[error("most-out of 0 lets nobody go; write 1 at least; what halts is state = halt")]
     NobodyOut,
-    #[error("most-out of {most} is not under the fleet of {fleet}; leave some that serve")]
+    #[error("most-out of {most} is not under the fleet of {fleet}; write less, some have to serve")]
     AllOut { most: u16, fleet: u16 },
-    #[error("zone {zone} has {has} and most-out {most}; both at least 1, most-out no more than it has")]
+    #[error(
+        "zone {zone} has {has} and most-out {most}; write 1 at least for both, most-out no more than it has"
+    )]
     Zone { zone: Name, has: u16, most: u16 },
-    #[error("the zones hold {zones}, the fleet {fleet}; each belongs to one zone, so both have to be equal")]
+    #[error("the zones hold {zones}, the fleet {fleet}; each belongs to one zone, so both must be equal")]
     Sum { zones: u32, fleet: u16 },
-    #[error("use-ms of {0} is not from 500 to 60000")]
+    #[error("use-ms of {0}; expected from 500 to 60000")]
     Use(u32),
-    #[error("settle-ms of {0} is not from 100 to 3600000")]
+    #[error("settle-ms of {0}; expected from 100 to 3600000")]
     Settle(u32),
-    #[error("a part of {0} in a thousand is none; from 1 to 1000")]
+    #[error("a part of {0} in a thousand; expected from 1 to 1000, that is 0.1% to 100%")]
     Part(u16),
-    #[error("an order of {0} bytes; {MOST_BYTES} are the most, use shorter names or fewer zones")]
+    #[error("an order of {0} bytes; {MOST_BYTES} are the most, write shorter names or fewer zones")]
     Long(usize),
 }
 
