--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -48,7 +48,8 @@
     },
     /// Plays a manager on the live platform, as the file says that BALANCER_CONFIG names, until SIGTERM.
     Node,
-    /// Reads a manager's or a day's settings and tells all that is wrong with them.
+    /// Reads a manager's settings and the orders' file that they name, a day's settings, or an orders' file,
+    /// and tells all that is wrong with them.
     Check { settings: PathBuf },
     /// Plays a day on loopback, managers, servers, players and faults, and judges it. Ends 0 if all rules
     /// hold.
@@ -201,12 +202,21 @@
     }
 }
 
-/// A day's file has a `[day]`; anything else is read as a manager's.
+/// A day's file has a `[day]`, an orders' file its kinds of headings; anything else is read as a manager's.
 fn check(path: &Path) -> Result<&'static str, RunError> {
     let text = settings::load(path)?;
     if text.lines().any(|it| it.trim() == "[day]") {
         settings::day::read_day(path, &text)?;
         return Ok("a day that can be rehearsed");
     }
-    run::read(path).map(|_| "settings that a manager can run with")
+    if settings::orders::are_orders(&text) {
+        settings::orders::load_orders(path)?;
+        return Ok("orders that a manager can read");
+    }
+    let (_, manager, _) = run::read(path)?;
+    // A manager starts without it, since it may be there later; who checks wants to know.
+    if let Some(orders) = manager.releases.and_then(|it| it.orders) {
+        settings::orders::load_orders(&orders)?;
+    }
+    Ok("settings that a manager can run with")
 }
--- a/daemon/src/rehearse/play.rs
+++ b/daemon/src/rehearse/play.rs
@@ -83,6 +83,8 @@
             silence: Ms(3_000.0),
             cores: asked.cores,
             members: members.as_ref(),
+            council: None,
+            releases: None,
         };
         let file = folder.join(format!("manager-{number}.ini"));
         fs::write(&file, write_manager(&terms, &post)).map_err(at(file))?;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -182,11 +182,12 @@
         }
         Ok((_, next, keys)) => {
             let same = format!("{:?}", next.terms) == format!("{:?}", manager.terms);
-            let others = next.members.is_some() == manager.members.is_some();
+            let others =
+                next.members.is_some() == manager.members.is_some() && next.releases == manager.releases;
             if !same || !others || next.listen != manager.listen || next.cores != manager.cores {
                 warn!(
-                    "cores, ladder, rules, packages, tenants, list, members and addresses change with a \
-                     restart only"
+                    "cores, ladder, rules, packages, tenants, list, members, releases and addresses change \
+                     with a restart only"
                 );
             }
             rekey(&next, running);
--- a/daemon/src/settings/error.rs
+++ b/daemon/src/settings/error.rs
@@ -11,6 +11,8 @@
 pub enum SettingsError {
     #[error("{}: {why}; name a settings file that this user may read", file.display())]
     Unread { file: PathBuf, why: io::Error },
+    #[error("{}: over {most} bytes; name an orders' file, or take out what is none of it", file.display())]
+    Long { file: PathBuf, most: u64 },
     /// All that is wrong with the file, by line.
     #[error("{}", lines(complaints))]
     Wrong { complaints: Vec<Complaint> },
@@ -23,7 +25,7 @@
             SettingsError::Wrong { complaints } => {
                 complaints.iter().map(Complaint::to_string).collect::<Vec<_>>().join(between)
             }
-            SettingsError::Unread { .. } => self.to_string(),
+            SettingsError::Unread { .. } | SettingsError::Long { .. } => self.to_string(),
         }
     }
 }
@@ -33,7 +35,7 @@
     fn from(it: SettingsError) -> Vec<String> {
         match it {
             SettingsError::Wrong { complaints } => complaints.iter().map(Complaint::to_string).collect(),
-            SettingsError::Unread { .. } => vec![it.to_string()],
+            SettingsError::Unread { .. } | SettingsError::Long { .. } => vec![it.to_string()],
         }
     }
 }
--- a/daemon/src/settings/manager.rs
+++ b/daemon/src/settings/manager.rs
@@ -4,6 +4,7 @@
 use super::error::SettingsError;
 use super::links::{links, Links};
 use super::members::{members, short, Members, LETTERS, LONGEST_NAME};
+use super::releases::{releases, Releases};
 use super::sheet::{Section, Sheet};
 use super::terms::terms;
 use ottersail::terms::Terms;
@@ -27,6 +28,8 @@
     pub members: Option<Members>,
     /// Off unless told; only with members.
     pub council: Option<Council>,
+    /// Off unless told; only with members and council.
+    pub releases: Option<Releases>,
 }
 
 /// Reads a manager's file.
@@ -48,6 +51,7 @@
     }
     let members = members(sheet, folder, number);
     let council = council(sheet, folder, members.as_ref());
+    let releases = releases(sheet, folder, (members.as_ref(), council.as_ref()));
     let zone = me.text("zone");
     if members.is_some() && !short(&zone) {
         me.complain(
@@ -68,6 +72,7 @@
         links: links(sheet),
         members,
         council,
+        releases,
         terms,
         listen,
     };
@@ -110,6 +115,9 @@
     }
 
     const MEMBERS: &str = "[members]\ncluster = east\nlisten = 127.0.0.1:1\nkeys = m\nseeds = 127.0.0.1:2\n";
+    const COUNCIL: &str =
+        "[council]\ncouncillors = manager-1, b, c\nstore = s\nslots = 32\nlease-ms = 900\ndrift-ppm = 7\n";
+    const RELEASES: &str = "[releases]\norders = o.ini\nversion = 2.0\nnext = n\nplay-out-ms = 50\n";
     const NEW: &str =
         "cells = 12\nworth = 0.2, 0.6, 1\njoin = 0.3\nreports-on-probe = yes\nweights-told = no";
 
@@ -130,6 +138,8 @@
     #[test_case(FILE.replace("cells = 12", NEW).replace("[rules]", "[rules]\nprobes-allowed = yes")
         .replace("seats = 4", "seats = 4\nlive = yes"); "probes and shared streams")]
     #[test_case(FILE.to_string() + MEMBERS; "members")]
+    #[test_case(FILE.to_string() + MEMBERS + COUNCIL; "a councillor")]
+    #[test_case(FILE.to_string() + MEMBERS + COUNCIL + RELEASES; "releases")]
     fn what_is_written_is_read_again(text: String) {
         let first = read(&text).unwrap();
         let post = Post {
@@ -141,6 +151,8 @@
             silence: Ms(3000.0),
             cores: 1,
             members: first.members.as_ref(),
+            council: first.council.as_ref(),
+            releases: first.releases.as_ref(),
         };
         let again = read(&write_manager(&first.terms, &post)).unwrap();
         assert_eq!(format!("{first:?}"), format!("{again:?}"));
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -8,10 +8,13 @@
 pub mod links;
 pub mod manager;
 pub mod members;
+pub mod orders;
 mod package;
+pub mod releases;
 pub mod sections;
 pub mod sheet;
 mod terms;
+mod values;
 pub mod write;
 
 use error::SettingsError;
--- /dev/null
+++ b/daemon/src/settings/orders/tests.rs
@@ -0,0 +1,182 @@
+//! Orders' files that say all, little, nothing and the wrong thing.
+
+use super::*;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const FULL: &str =
+    "; a remark\n[release spring]\nserial = 12\nwho = zone east\nversion = 2.0\nbefore = 1.9\n\
+    steps = one, 5, 5%, 25%, all\nsettle-ms = 30000\nuse-ms = 5000\nfleet = 40\nmost-out = 3\n\
+    zones = east 20 2, west 20 2\nhalt-by = order\nalarms = 0.5%\npoints = 3\nstate = back\n\
+    strike = m-9, m-7\n[drain racks]\nserial = 4\nwho = part 12.5%\nsteps = all\n\
+    settle-ms = 60000\nfleet = 90\nmost-out = 5\nleast-holders = 2\nheadroom = 7.5%\nstate = halt\n";
+
+fn read(text: &str) -> Result<Orders, SettingsError> {
+    read_orders(Path::new("o.ini"), text)
+}
+
+fn named(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+#[test]
+fn all_of_it_is_read() {
+    let Orders { release, drain } = read(FULL).unwrap();
+    let zones = BTreeMap::from([(named("east"), (20, 2)), (named("west"), (20, 2))]);
+    let steps = [Step::Count(1), Step::Count(5), Step::Part(50), Step::Part(250), Step::Part(1_000)];
+    let expected = Order {
+        serial: Serial(12),
+        name: named("spring"),
+        who: Who::Zone(named("east")),
+        version: named("2.0"),
+        before: named("1.9"),
+        steps: steps.to_vec(),
+        settle_ms: 30_000,
+        use_ms: 5_000,
+        bounds: Bounds { fleet: 40, most_out: 3, zones, least_holders: 0, headroom: 0 },
+        halts: Halts { by_evidence: false, alarms: 50, points: 3 },
+        state: State::Back,
+        struck: vec![named("m-7"), named("m-9")],
+    };
+    assert_eq!(release, Some(expected));
+    let drain = drain.unwrap();
+    assert_eq!((drain.who, drain.state), (Who::Part(125), State::Halt));
+    assert_eq!((drain.bounds.least_holders, drain.bounds.headroom), (2, 75));
+}
+
+#[test]
+fn what_is_not_said_is_filled_in() {
+    let release = "[release a]\nserial = 1\nwho = name b, a\nversion = 2\nbefore = 1\nsteps = all\n\
+        settle-ms = 100\nfleet = 2\nmost-out = 1\nstate = go\n";
+    let Orders { release, drain } = read(release).unwrap();
+    let release = release.unwrap();
+    assert_eq!(
+        (drain, release.use_ms, release.bounds.zones.len(), release.struck.len()),
+        (None, 10_000, 0, 0)
+    );
+    assert_eq!(release.halts, Halts { by_evidence: true, alarms: 100, points: 5 });
+    // In whichever order they are written it is the same order.
+    assert_eq!(release.who, Who::Named(vec![named("a"), named("b")]));
+    let drain =
+        "[drain a]\nserial = 1\nwho = all\nsteps = 1\nsettle-ms = 100\nfleet = 2\nmost-out = 1\nstate = go\n";
+    let drain = read(drain).unwrap().drain.unwrap();
+    assert_eq!((drain.bounds.least_holders, drain.bounds.headroom), (1, 200));
+    assert_eq!(drain.halts, Halts { by_evidence: false, alarms: 100, points: 5 });
+    assert_eq!((drain.version, drain.before), (Name::default(), Name::default()));
+}
+
+#[test_case(FULL.to_string(); "as it is")]
+#[test_case(FULL.replace('\n', "\r\n"); "with lines of another system")]
+#[test_case(format!("\u{feff}{FULL}"); "with a mark before the first line")]
+#[test_case(FULL.replace("zone east", "name m-1, m-2"); "names")]
+fn what_is_written_is_read_again(text: String) {
+    let first = read(&text).unwrap();
+    assert_eq!(read(&write_orders(&first)).unwrap(), first);
+    assert!(first.release.is_some() && first.drain.is_some() && are_orders(&text));
+}
+
+#[test]
+fn a_halt_by_evidence_is_not_written_as_an_operators() {
+    let first = read(&FULL.replace("state = back", "state = go")).unwrap();
+    let halted = ottersail_releases::stopped(first.release.as_ref().unwrap());
+    assert_eq!(read(&write_orders(&Orders { release: halted, ..first.clone() })).unwrap(), first);
+}
+
+#[test_case(""; "empty")]
+#[test_case("\r\n\r\n; nothing yet\r\n"; "a remark alone")]
+fn a_file_that_orders_nothing_is_no_mistake(text: &str) {
+    assert_eq!(read(text).unwrap(), Orders::default());
+    assert!(!are_orders(text));
+}
+
+#[test_case("serial = 12\n", "", "2: [release spring] lacks serial; expected a whole"; "no serial")]
+#[test_case("serial = 12", "serial = 0", "3: serial: expected a whole number from 1 to"; "serial nought")]
+#[test_case("zone east", "zone east west", "4: who: expected all, zone NAME, name A, B or part"; "two zones")]
+#[test_case("zone east", "name", "4: who: expected all, zone NAME"; "names without one")]
+#[test_case("zone east", "name a, b, a", "4: who: a is there twice; take one out"; "a name twice")]
+#[test_case("zone east", "name a,b,c,d,e,f,g,h,i", "4: who: 9 names; 8 are the most"; "nine names")]
+#[test_case("zone east", "part 150%", "4: who: a part of 1500 in a thousand; expected from 1"; "over all")]
+#[test_case("zone east", "part 0.01%", "4: who: expected all, zone"; "too fine a part")]
+#[test_case("version = 2.0", "version = 2 0", "5: version: expected 1 to 32 of a-z"; "no version's name")]
+#[test_case("before = 1.9", "before = 2.0", "6: before: must be another than version"; "back to the same")]
+#[test_case("before = 1.9\n", "", "2: [release spring] lacks before"; "no way back")]
+#[test_case("one, 5, 5%", "one, 0", "7: steps: expected one, a number, a part like 5%"; "a step of none")]
+#[test_case("one, 5, 5%, 25%, all", "25%, 5%", "7: steps: must grow from step"; "steps that fall")]
+#[test_case("one, 5, 5%, 25%, all", ",", "7: steps: it has no steps; write"; "no steps")]
+#[test_case("one, 5, 5%, 25%, all", "1,2,3,4,5,6,7,8,9", "7: steps: it has 9 steps; 8"; "nine steps")]
+#[test_case("5%, 25%, all", "500%", "7: steps: a part of 5000 in a thousand; expected"; "a step over all")]
+#[test_case("settle-ms = 30000", "settle-ms = 5", "8: settle-ms: settle-ms of 5; expected"; "no settling")]
+#[test_case("use-ms = 5000", "use-ms = 5", "9: use-ms: use-ms of 5; expected from 500"; "no time to use")]
+#[test_case("fleet = 40", "fleet = many", "10: fleet: expected a whole number"; "no figure")]
+#[test_case("most-out = 3", "most-out = 0", "11: most-out: most-out of 0 lets nobody go; write 1"; "nobody")]
+#[test_case("most-out = 3", "most-out = 40", "11: most-out: most-out of 40 is not under"; "all out")]
+#[test_case("west 20 2", "west 20", "12: zones: expected zones like east 20 2"; "a zone cut")]
+#[test_case("west 20 2", "east 20 2", "12: zones: east is there twice; take one out"; "a zone twice")]
+#[test_case("west 20 2", "west 19 2", "12: zones: the zones hold 39, the fleet 40"; "zones short")]
+#[test_case("west 20 2", "west 20 21", "12: zones: zone west has 20 and most-out 21"; "a zone all out")]
+#[test_case("halt-by = order", "halt-by = me", "13: halt-by: expected one of evidence, order"; "who halts")]
+#[test_case("alarms = 0.5%", "alarms = 0%", "14: alarms: expected a part from 0.01% to 50%"; "no alarms")]
+#[test_case("alarms = 0.5%", "alarms = 1", "14: alarms: expected a part like 5%, in steps of"; "no part")]
+#[test_case("points = 3", "points = 0", "15: points: expected a whole number from 1 to 100"; "no points")]
+#[test_case("state = back", "state = stopped", "16: state: expected one of go, halt, bac"; "evidence's word")]
+#[test_case("state = back\n", "", "2: [release spring] lacks state; expected one of go"; "no state")]
+#[test_case("m-9, m-7", "m-9, m 7", "17: strike: expected names of 1 to 32"; "a name struck that is none")]
+#[test_case("m-9, m-7", "a,b,c,d,e,f,g,h,i", "17: strike: 9 names are struck; 8"; "nine struck")]
+#[test_case("[release spring]", "[release a b]", "2: [release a b]: expected a name of 1"; "a title of two")]
+#[test_case("[release spring]", "[release]", "2: [release] is not known here; did you mean [rel"; "untitled")]
+#[test_case("[drain racks]", "[drian racks]", "18: [drian racks] is not known here; did you mean"; "heading")]
+#[test_case("[drain racks]", "[members]", "18: [members] is not known here; it belongs in a"; "a manager's")]
+#[test_case("settle-ms = 6", "setle-ms = 6", "22: setle-ms is not known in [drain racks]; did you"; "a key")]
+#[test_case("fleet = 90", "version = 2\nfleet = 90", "23: version is not known in [dra"; "a drain's version")]
+#[test_case("points = 3", "headroom = 1%", "15: headroom is not known in [release"; "a release's headroom")]
+#[test_case("headroom = 7.5%", "headroom = x", "26: headroom: expected a part like 5%, in steps"; "no room")]
+#[test_case("[drain racks]", "[release summer]", "18: [release summer] is a second release, bes"; "a second")]
+#[test_case("[drain racks]", "[release spring]", "18: [release spring] is there already, at li"; "one twice")]
+fn what_is_wrong_is_told_with_its_line(was: &str, becomes: &str, expected: &str) {
+    let file = FULL.replace(was, becomes);
+    assert_ne!(file, FULL);
+    let told = read(&file).unwrap_err().to_string();
+    assert!(told.lines().any(|it| it.starts_with(&format!("o.ini:{expected}"))), "{told}");
+    // Whatever ends its lines.
+    assert_eq!(read(&file.replace('\n', "\r\n")).unwrap_err().to_string(), told);
+}
+
+#[test]
+fn an_order_that_no_register_takes_is_told_at_its_heading() {
+    let zones: Vec<String> = (10..22).map(|it| format!("{it}{} 1 1", "z".repeat(30))).collect();
+    let names: Vec<String> = (0..8).map(|it| format!("{it}{}", "y".repeat(31))).collect();
+    let file = FULL.replace("east 20 2, west 20 2", &zones.join(", ")).replace("fleet = 40", "fleet = 12");
+    let told = read(&file.replace("m-9, m-7", &names.join(", "))).unwrap_err().to_string();
+    assert!(told.starts_with("o.ini:2: [release spring]: an order of "), "{told}");
+    assert!(told.ends_with("600 are the most, write shorter names or fewer zones"), "{told}");
+}
+
+#[test]
+fn only_a_plain_file_of_fitting_size_is_loaded() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("o.ini");
+    let told = || load_orders(&file).unwrap_err().to_string();
+    assert!(told().contains("o.ini: No such file") && told().contains("name a settings file"), "{}", told());
+    std::fs::write(&file, FULL).unwrap();
+    assert_eq!(load_orders(&file).unwrap(), read(FULL).unwrap());
+    std::fs::write(&file, [b'[', 0xff, b']']).unwrap();
+    assert!(told().contains("valid UTF-8"), "{}", told());
+    let fits = format!("{FULL};{}", "x".repeat(MOST_BYTES as usize - FULL.len() - 1));
+    std::fs::write(&file, &fits).unwrap();
+    assert_eq!(load_orders(&file).unwrap(), read(FULL).unwrap());
+    std::fs::write(&file, fits + "x").unwrap();
+    assert!(told().contains("o.ini: over 65536 bytes; name an orders' file"), "{}", told());
+    let of_folder = load_orders(folder.path()).unwrap_err().to_string();
+    assert!(of_folder.contains("it is no plain file"), "{of_folder}");
+}
+
+/// What operators copy.
+#[test]
+fn the_example_of_the_manual_can_be_read() {
+    let manual = include_str!("../../../../docs/operating.md");
+    let lines = manual.lines().skip_while(|it| !it.starts_with("    [release "));
+    let lines = lines.take_while(|it| it.is_empty() || it.starts_with("    "));
+    let text: String = lines.map(|it| format!("{}\n", it.trim_start())).collect();
+    let Orders { release, drain } = read(&text).unwrap();
+    assert!(release.is_some() && drain.is_some(), "{text}");
+}
--- a/daemon/src/settings/sections.rs
+++ b/daemon/src/settings/sections.rs
@@ -8,6 +8,7 @@
     Manager,
     Day,
     Both,
+    Orders,
 }
 
 /// A section by its heading, the files it may stand in, and the module that reads it. Where NAME follows,
@@ -18,6 +19,7 @@
     ("servers", In::Manager, "links"),
     ("members", In::Manager, "members"),
     ("council", In::Manager, "council"),
+    ("releases", In::Manager, "releases"),
     ("ladder", In::Both, "terms"),
     ("rules", In::Both, "terms"),
     ("package NAME", In::Both, "package"),
@@ -27,6 +29,8 @@
     ("players", In::Day, "day"),
     ("even", In::Day, "day"),
     ("fault NAME", In::Day, "fault"),
+    ("release NAME", In::Orders, "orders"),
+    ("drain NAME", In::Orders, "orders"),
 ];
 
 /// What follows the first word of a heading of which there may be several.
@@ -43,6 +47,7 @@
         In::Manager => "a manager's file",
         In::Day => "a day's file",
         In::Both => "a manager's or a day's file",
+        In::Orders => "an orders' file",
     })
 }
 
@@ -51,15 +56,15 @@
     use super::*;
     use crate::settings::sheet::Sheet;
     use crate::settings::write::{write_manager, Post};
-    use crate::settings::{day, manager};
+    use crate::settings::{day, manager, orders};
     use ottersail::time::Ms;
     use std::collections::BTreeSet;
     use std::path::Path;
 
     const DAY: &str = include_str!("../../tests/day.ini");
 
-    fn listed(but: In) -> BTreeSet<String> {
-        SECTIONS.iter().filter(|it| it.1 != but).map(|it| it.0.to_string()).collect()
+    fn listed(files: &[In]) -> BTreeSet<String> {
+        SECTIONS.iter().filter(|it| files.contains(&it.1)).map(|it| it.0.to_string()).collect()
     }
 
     /// A section that is read but not listed, or listed and read by nobody, is found here.
@@ -67,7 +72,7 @@
     fn the_list_names_all_sections_that_are_read() {
         let sheet = Sheet::read("day.ini", DAY);
         let plan = day::plan(&sheet).unwrap();
-        assert_eq!(sheet.asked(), listed(In::Manager));
+        assert_eq!(sheet.asked(), listed(&[In::Day, In::Both]));
         let post = Post {
             listen: "127.0.0.1:1",
             list: "127.0.0.1:2",
@@ -77,9 +82,14 @@
             silence: Ms(3_000.0),
             cores: 1,
             members: None,
+            council: None,
+            releases: None,
         };
         let sheet = Sheet::read("m.ini", &write_manager(&plan.terms, &post));
         manager::manager(&sheet, Path::new(".")).unwrap();
-        assert_eq!(sheet.asked(), listed(In::Day));
+        assert_eq!(sheet.asked(), listed(&[In::Manager, In::Both]));
+        let sheet = Sheet::read("o.ini", "");
+        orders::orders(&sheet);
+        assert_eq!(sheet.asked(), listed(&[In::Orders]));
     }
 }
--- a/daemon/src/settings/sheet.rs
+++ b/daemon/src/settings/sheet.rs
@@ -127,6 +127,11 @@
         self.wrong(line, Wrong::Whole { rule });
     }
 
+    /// How many complaints there are by now, those about what nobody asked for not counted.
+    pub fn told(&self) -> usize {
+        self.complaints.borrow().len()
+    }
+
     fn wrong(&self, line: usize, wrong: Wrong) {
         self.complaints.borrow_mut().push((line, wrong));
     }
@@ -197,6 +202,11 @@
         slot.map(|it| it.line).or(self.part.map(|it| it.line)).unwrap_or(0)
     }
 
+    /// The line of its heading.
+    pub fn heading(&self) -> usize {
+        self.part.map_or(0, |it| it.line)
+    }
+
     /// Something is wrong with a key's value.
     pub fn complain(&self, key: &str, rule: impl Display) {
         let (section, rule) = (self.name.to_string(), rule.to_string());
--- a/daemon/src/settings/write.rs
+++ b/daemon/src/settings/write.rs
@@ -1,6 +1,8 @@
 //! A manager's file, written for rehearsals.
 
+use super::council::Council;
 use super::members::Members;
+use super::releases::Releases;
 use ottersail::terms::{Budget, Group, Repeat, Terms};
 use ottersail::time::Ms;
 
@@ -14,13 +16,15 @@
     pub silence: Ms,
     pub cores: usize,
     pub members: Option<&'a Members>,
+    pub council: Option<&'a Council>,
+    pub releases: Option<&'a Releases>,
 }
 
 /// Writes a manager's file; [`read_manager`](super::manager::read_manager) reads the same terms from it.
 pub fn write_manager(terms: &Terms, post: &Post) -> String {
     let yes = |it: bool| if it { "yes" } else { "no" };
     let join = |all: &[f64]| all.iter().map(f64::to_string).collect::<Vec<_>>().join(", ");
-    let Post { listen, list, keys, grace, list_wait, silence, cores, members } = post;
+    let Post { listen, list, keys, grace, list_wait, silence, cores, .. } = post;
     let places: Vec<String> = terms.places.iter().map(|(kind, places)| format!("{kind}:{places}")).collect();
     let mut text = format!(
         "[manager]\nnumber = {}\nmanagers = {}\nzone = {}\nlisten = {listen}\nkeys = {keys}\n\
@@ -89,7 +93,7 @@
             }
         };
     }
-    if let Some(it) = members {
+    if let Some(it) = post.members {
         let seeds = it.seeds.iter().map(|it| it.to_string()).collect::<Vec<_>>().join(", ");
         let Members { name, cluster, listen, advertise, keys, period, .. } = it;
         text += &format!(
@@ -99,6 +103,24 @@
             period.0
         );
     }
+    if let Some(it) = post.council {
+        let Council { councillors, store, slots, lease_ms, drift_ppm } = it;
+        text += &format!(
+            "\n[council]\ncouncillors = {}\nslots = {slots}\nlease-ms = {lease_ms}\n\
+             drift-ppm = {drift_ppm}\n",
+            councillors.join(", ")
+        );
+        text += &store.as_ref().map_or(String::new(), |it| format!("store = {}\n", it.display()));
+    }
+    if let Some(it) = post.releases {
+        let Releases { orders, version, next, play_out } = it;
+        text += &format!(
+            "\n[releases]\nversion = {version}\nnext = {}\nplay-out-ms = {}\n",
+            next.display(),
+            play_out.0
+        );
+        text += &orders.as_ref().map_or(String::new(), |it| format!("orders = {}\n", it.display()));
+    }
     for it in &terms.tenants {
         text += &format!("\n[tenant {}]\nallowance-per-s = {}\n", it.name, it.allowance_per_s);
     }
--- a/daemon/tests/errors.rs
+++ b/daemon/tests/errors.rs
@@ -5,6 +5,7 @@
 use ottersail_daemon::rehearse::{RehearseError, Unclean};
 use ottersail_daemon::settings::error::{Complaint, SettingsError, Wrong};
 use ottersail_members::TermsError;
+use ottersail_releases::{Fault, Held, Name, Serial};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
@@ -100,6 +101,7 @@
     let stray = |key| Complaint { file: FILE.into(), line: Some(7), wrong: Wrong::Stray { key } };
     table!(SettingsError:
         Unread { file: file(), why: why() } => [FILE], true;
+        Long { file: file(), most: 900 } => [FILE, "900"], false;
         Wrong { complaints: vec![stray(key())] } => [LINE, "cold-ms"], false;
     );
     assert_eq!(settings().to_string().lines().count(), 2, "a line for each complaint");
@@ -109,6 +111,31 @@
     told(&whole, &["folder/the-file: [rules]"], false);
 }
 
+#[test]
+fn what_is_wrong_with_an_order() {
+    let east = || Name::new("east").unwrap();
+    table!(Fault:
+        NoSteps {} => ["steps ="], false;
+        Steps { 0: 9 } => ["9 steps", "8"], false;
+        Zones { 0: 13 } => ["13 zones", "12"], false;
+        Struck { 0: 9 } => ["9 names", "8"], false;
+        NobodyOut {} => ["most-out of 0"], false;
+        AllOut { most: 41, fleet: 40 } => ["most-out of 41", "fleet of 40"], false;
+        Zone { zone: east(), has: 20, most: 21 } => ["zone east", "20", "most-out 21"], false;
+        Sum { zones: 39, fleet: 40 } => ["zones hold 39", "fleet 40"], false;
+        Use { 0: 5 } => ["use-ms of 5"], false;
+        Settle { 0: 5 } => ["settle-ms of 5"], false;
+        Part { 0: 1_500 } => ["1500 in a thousand"], false;
+        Long { 0: 700 } => ["700 bytes", "600"], false;
+    );
+    table!(Held:
+        Older { agreed: Serial(41), file: Serial(40) } => ["serial 40", "than 41", "serial = 42"], false;
+        Differs { serial: Serial(41), keys: vec!["steps", "who"] } => ["serial 41", "steps, who"], false;
+        Lost { to: Serial(41) } => ["serial 41", "serial = 42"], false;
+        Stopped { stopped: Serial(40), file: Serial(41) } => ["serial 40", "serial 41", "serial = 42"], false;
+    );
+}
+
 #[test]
 fn what_keeps_a_manager_from_starting() {
     let bad = || "x".parse::<SocketAddr>().unwrap_err();
--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod peer;
 
-use peer::{answer, folder, get, program, send, well, within, Manager, Peer};
+use peer::{answer, folder, get, program, send, settings, well, within, Manager, Peer};
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -204,6 +204,30 @@
     }
 }
 
+#[test]
+fn a_check_looks_at_the_orders_that_the_settings_name() {
+    let more = "[members]\ncluster = c\nlisten = 127.0.0.1:7946\nkeys = keys\n[council]\n\
+        councillors = manager-0, b, c\nstore = s\n[releases]\nnext = n\norders = o.ini";
+    let (folder, at) = (folder("orders"), SocketAddr::from(([127, 0, 0, 1], 8080)));
+    let (file, orders) = (folder.path().join("m.ini"), folder.path().join("o.ini"));
+    std::fs::write(&file, settings(at, at, more)).unwrap();
+    std::fs::write(folder.path().join("keys"), "a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\n").unwrap();
+    let check = |file| {
+        let output = program().arg("check").arg(file).output().unwrap();
+        (output.status.code(), String::from_utf8([output.stdout, output.stderr].concat()).unwrap())
+    };
+    let (code, told) = check(&file);
+    assert!(code == Some(2) && told.contains("o.ini: No such file"), "{told}");
+    std::fs::write(&orders, "[drain a]\nserial = 1\nwho = some\n").unwrap();
+    for file in [&file, &orders] {
+        let (code, told) = check(file);
+        assert!(code == Some(2) && told.contains("o.ini:3: who: expected all, zone NAME"), "{told}");
+    }
+    std::fs::write(&orders, "; nothing ordered\n").unwrap();
+    let (code, told) = check(&file);
+    assert!(code == Some(0) && told.contains("settings that a manager can run with"), "{told}");
+}
+
 #[test]
 fn every_day_that_is_kept_can_be_read() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../days");
