--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -124,6 +124,7 @@
     let owner = running.owner.clone();
     if let Some(fleet) = Fleet::start(exec, seed, &manager, &owner)? {
         _ = owner.fleet.set(fleet);
+        release::read_orders(&manager, &owner);
     }
     let (listen, cores) = (&manager.listen, manager.cores);
     info!(listen, cores, managers = manager.terms.managers, number = manager.terms.me.0, "running");
@@ -202,15 +203,17 @@
         }
         Ok((_, next, keys)) => {
             let same = format!("{:?}", next.terms) == format!("{:?}", manager.terms);
-            let others = next.members.is_some() == manager.members.is_some();
+            let others =
+                next.members.is_some() == manager.members.is_some() && next.releases == manager.releases;
             if !same || !others || next.listen != manager.listen || next.cores != manager.cores {
                 warn!(
-                    "cores, ladder, rules, packages, tenants, list, members and addresses change with a \
-                     restart only"
+                    "cores, ladder, rules, packages, tenants, list, members, releases and addresses change \
+                     with a restart only"
                 );
             }
             rekey(&next, running);
             // Its keys are not in the record, and what they sign is.
+            release::read_orders(&next, &running.owner);
             running.owner.end_tape();
             running.owner.front(|it| it.refit(house(&next, keys.clone())));
             running.shared.keys.store(Arc::new(keys));
--- a/daemon/src/run/release.rs
+++ b/daemon/src/run/release.rs
@@ -2,15 +2,40 @@
 
 use crate::error::RunError;
 use crate::owner::Owner;
+use crate::settings::manager::Manager;
+use crate::settings::orders::load_orders;
 use ottersail_front::Ms;
 use ottersail_net::Timer;
 use ottersail_releases::Name;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use tracing::error;
 
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Reads the orders' file, if this manager is given one, and puts its order before the council. One with a mistake
+/// changes nothing, and this manager goes on.
+pub(super) fn read_orders(manager: &Manager, owner: &Rc<Owner>) {
+    let file = manager.releases.as_ref().and_then(|it| it.orders.as_ref());
+    let (Some(file), Some(fleet)) = (file, owner.fleet.get()) else { return };
+    match load_orders(file) {
+        Ok(orders) => {
+            if let Some(order) = orders.release {
+                fleet.order(order);
+            }
+            if orders.drain.is_some() {
+                error!(target: "releases", "[drain] is not carried out by this version; take it out of the file");
+            }
+        }
+        Err(trouble) => {
+            for complaint in trouble.to_string().lines() {
+                error!(target: "releases", complaint, "the orders were not taken over");
+            }
+        }
+    }
+}
+
 /// Comes back with the version once a permit is used; never without releases.
 pub(super) async fn goes_out(owner: &Rc<Owner>) -> Option<Name> {
     match owner.fleet.get() {
--- a/releases/src/allows.rs
+++ b/releases/src/allows.rs
@@ -3,9 +3,10 @@
 use crate::book::{Book, Permit};
 use crate::conductor::Conductor;
 use crate::guards::Guards;
-use crate::order::{Order, State};
+use crate::order::Order;
 use crate::refusal::Refusal;
 use crate::seen::{Sight, DRIFT};
+use crate::serials::stopped;
 use ottersail::time::Ms;
 use ottersail_members::MemberId;
 
@@ -17,7 +18,7 @@
 /// [`Refusal::Serial`].
 pub fn follows(from: Option<&Order>, to: &Order, guards: Guards) -> Result<(), Refusal> {
     let Some(from) = from.filter(|_| guards.serials()) else { return Ok(()) };
-    let halts = to.state == State::Halt && *to == Order { state: State::Halt, ..from.clone() };
+    let halts = stopped(from).as_ref() == Some(to);
     // Unchanged: a reading that is written back.
     if to.serial > from.serial || halts || from == to {
         return Ok(());
--- a/releases/src/conductor.rs
+++ b/releases/src/conductor.rs
@@ -3,9 +3,10 @@
 use crate::book::{Book, Permit};
 use crate::guards::Guards;
 use crate::notes::Note;
-use crate::order::{Name, Order, State};
+use crate::order::{Name, Order};
 use crate::refusal::Refusal;
 use crate::seen::{Seen, Sights};
+use crate::serials::stopped;
 use crate::stand::Stand;
 use crate::watch::Watch;
 use crate::wishes::{Outcome, Wishes};
@@ -172,11 +173,11 @@
 
     fn look(&mut self, now: Ms, revision: u64, order: &Order, out: &mut dyn Wishes) {
         self.tell_waits(now, order, out);
-        if let (Some(why), true) = (self.watch.verdict.clone(), order.state != State::Halt) {
+        if let (Some(why), Some(halted)) = (self.watch.verdict.clone(), stopped(order)) {
             if self.watch.tells() {
                 out.note(Note::Evidence { serial: order.serial, why });
             }
-            out.halt(revision, &Order { state: State::Halt, ..order.clone() });
+            out.halt(revision, &halted);
         }
         let (before, mut book) = self.book.clone();
         let back = |it: &Permit| self.is_back(now, Some(order), it).is_ok();
--- a/releases/src/lib.rs
+++ b/releases/src/lib.rs
@@ -11,6 +11,7 @@
 mod order;
 mod refusal;
 mod seen;
+mod serials;
 mod stand;
 mod tells;
 #[cfg(test)]
@@ -31,6 +32,7 @@
 pub use ottersail_members::{Life, MemberId};
 pub use refusal::Refusal;
 pub use seen::{Presence, Seen};
+pub use serials::{answered, given, stopped, Answered, Given, Held};
 pub use stand::{Counts, Stand};
 pub use view::{Out, View, Wait};
 pub use wishes::{Outcome, Wishes};
--- a/releases/src/turn.rs
+++ b/releases/src/turn.rs
@@ -24,7 +24,7 @@
         match self.state {
             State::Go => Some(&self.version),
             State::Back => Some(&self.before),
-            State::Halt => None,
+            State::Halt | State::Stopped => None,
         }
     }
 
@@ -34,7 +34,7 @@
             State::Go => *has != self.version,
             // Only those that were released; whoever has yet another version is let be.
             State::Back => *has == self.version,
-            State::Halt => false,
+            State::Halt | State::Stopped => false,
         }
     }
 
@@ -152,7 +152,7 @@
         if !book.permits.is_empty() {
             return false;
         }
-        if order.state == State::Halt {
+        if matches!(order.state, State::Halt | State::Stopped) {
             return true;
         }
         if ended {
