The order of a file is put, told and let be as the serials say

Need: an operator has to hear what became of the file. Change: given and answered of releases/ decide in the daemon's part; one line for each outcome.

--- a/daemon/src/fleet/council/lines.rs
+++ b/daemon/src/fleet/council/lines.rs
@@ -4,7 +4,7 @@
 use super::seat::Seat;
 use ottersail_council::{Key, Value};
 use ottersail_parts::PartsError;
-use ottersail_releases::{Note, Order, Refusal};
+use ottersail_releases::{Held, Note, Order, Refusal};
 use tracing::{error, info, warn};
 
 pub(super) fn key(it: Key) -> String {
@@ -70,19 +70,31 @@
     info!(target: "releases", revision, serial = serial.0, %name, %version, ?state, "ordered");
 }
 
-/// The order of this manager's file against what stands.
-pub(super) fn file(file: &Order, stands: &Order) {
-    let (serial, stands_serial) = (file.serial.0, stands.serial.0);
-    if file == stands {
-        info!(target: "releases", serial, "the order of the file stands");
-    } else {
+pub(super) fn file_stands(file: &Order) {
+    info!(target: "releases", serial = file.serial.0, "the order of the file stands");
+}
+
+pub(super) fn file_same(file: &Order, stopped: bool) {
+    let serial = file.serial.0;
+    if stopped {
         warn!(
-            target: "releases", serial, stands = stands_serial,
-            "another order stands: nothing done; write a serial above the one that stands into the file"
+            target: "releases", serial,
+            "the order of the file stands, halted by evidence; look at it, then go on or back under a greater \
+             serial"
         );
+    } else {
+        info!(target: "releases", serial, "the order of the file stands already");
     }
 }
 
+pub(super) fn file_lifts(file: &Order) {
+    warn!(target: "releases", serial = file.serial.0, "the order of the file lifts a halt by evidence");
+}
+
+pub(super) fn file_held(why: &Held) {
+    warn!(target: "releases", %why, "the order of the file");
+}
+
 pub(super) fn kept_out(it: Key, refusal: &Refusal) {
     info!(target: "releases", key = key(it), %refusal, "kept out of the register");
 }
--- a/daemon/src/fleet/council/releases.rs
+++ b/daemon/src/fleet/council/releases.rs
@@ -9,8 +9,8 @@
 use ottersail_council::{Key, MemberId, Message, Outcome, Stored, Value};
 use ottersail_members::{Known, Life, State};
 use ottersail_releases::{
-    follows, Book, Conductor, Counts, Going, Guards, Holder, Name, Order, Outcome as Proposed, Presence,
-    Seen, Stand,
+    answered, follows, given, Answered, Book, Conductor, Counts, Given, Going, Guards, Holder, Name, Order,
+    Outcome as Proposed, Presence, Seen, Stand,
 };
 use std::collections::BTreeMap;
 
@@ -22,8 +22,8 @@
     pub holder: Holder,
     /// A councillor's.
     pub conductor: Option<Conductor>,
-    /// The order of this manager's own file, until it stands or cannot.
-    pub file: Option<Order>,
+    /// The order of this manager's own file, until it stands or cannot, and the revision it was put over.
+    pub file: Option<(u64, Order)>,
     /// What stands, as far as it is known here.
     order: Option<(u64, Order)>,
 }
@@ -165,18 +165,24 @@
             self.ordered(now, key, value, wants);
         }
         if key == ORDER {
-            self.file_stands(outcome);
+            self.file_answered(outcome);
         }
     }
 
-    /// The order of this manager's own file stands, or cannot: told once.
-    fn file_stands(&mut self, outcome: &Outcome) {
+    /// What became of the order of this manager's own file: told once.
+    fn file_answered(&mut self, outcome: &Outcome) {
         let Some(it) = &mut self.releases else { return };
-        let (Some(file), Some((_, stands))) = (&it.file, &it.order) else { return };
-        if matches!(outcome, Outcome::Done(_) | Outcome::Now(_)) && stands.serial >= file.serial {
-            lines::file(file, stands);
-            it.file = None;
+        let Some((asked, file)) = &it.file else { return };
+        if !matches!(outcome, Outcome::Done(_) | Outcome::Now(_)) {
+            // No majority, or kept out: it is put again at the next look.
+            return;
         }
+        match answered(*asked, it.order.as_ref().map(|it| (it.0, &it.1)), file) {
+            Answered::Taken => lines::file_stands(file),
+            Answered::Again { if_revision } => return it.file = Some((if_revision, file.clone())),
+            Answered::Not(why) => lines::file_held(&why),
+        }
+        it.file = None;
     }
 
     /// At each look: this manager's state, the roster, and the own file if it waits.
@@ -192,17 +198,20 @@
         let (Some(it), Some(name)) = (&mut self.releases, Name::new(name)) else { return };
         let me = Seen { life: self.me.1, name, zone: Name::new(zone), state: Presence::Alive };
         it.roster(now, (self.me.0, me), all, conducts);
-        let Some(file) = it.file.clone().filter(|_| !asked) else { return };
-        match &it.order {
-            Some((_, stands)) if stands.serial >= file.serial => {
-                lines::file(&file, stands);
-                it.file = None;
-            }
-            stands => {
-                let revision = stands.as_ref().map_or(0, |it| it.0);
-                self.ask(now, Ask::Order(ORDER), set(revision, file.bytes()), wants);
+        let Some((_, file)) = it.file.clone().filter(|_| !asked) else { return };
+        match given(it.order.as_ref().map(|it| (it.0, &it.1)), &file) {
+            Given::Put { if_revision, lifts } => {
+                if lifts {
+                    lines::file_lifts(&file);
+                }
+                let change = set(if_revision, file.bytes());
+                it.file = Some((if_revision, file));
+                return self.ask(now, Ask::Order(ORDER), change, wants);
             }
+            Given::Same { stopped } => lines::file_same(&file, stopped),
+            Given::Not(why) => lines::file_held(&why),
         }
+        it.file = None;
     }
 
     /// Whether this manager takes viewings with all that it needs, and how they ended.
@@ -226,7 +235,7 @@
     /// The order of this manager's own file.
     pub fn order(&mut self, file: Order) {
         if let Some(it) = &mut self.releases {
-            it.file = Some(file);
+            it.file = Some((0, file));
             self.look_at = Ms(0.0);
         }
     }
