--- /dev/null
+++ b/daemon/tests/releases/field.rs
@@ -0,0 +1,162 @@
+//! Managers of which three are councillors, the orders' file of one of them, and who starts again what goes out.
+
+use crate::cluster::{Cluster, Node};
+use crate::peer::{get, within};
+use rustix::process::Signal;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+/// The slowest that a release of some managers is on a machine with other work.
+pub const LONG: Duration = Duration::from_secs(90);
+const LOOK: Duration = Duration::from_millis(20);
+/// The exit code of a manager that goes out by a permit.
+const RELEASED: i32 = 3;
+
+pub struct Field {
+    pub all: Cluster,
+    pub most_out: usize,
+    serial: u64,
+    /// Started, and not yet seen to answer that it is ready: out.
+    coming: BTreeSet<usize>,
+    /// Killed by the test: not started again by whoever supervises.
+    pub lost: BTreeSet<usize>,
+    /// Each going out by a permit, in turn.
+    pub went: Vec<usize>,
+}
+
+impl Field {
+    /// All started with version one, and whole.
+    pub fn of(count: usize, most_out: usize) -> Field {
+        let edit = |ix: usize, text: String| {
+            let store = if ix < 3 { "store = council\n" } else { "" };
+            let orders = if ix == 3 { "orders = orders\n" } else { "" };
+            text.replace("number = 0\nmanagers = 1\n", &format!("number = {ix}\nmanagers = {count}\n"))
+                + &format!(
+                    "[council]\ncouncillors = m-0, m-1, m-2\nslots = 32\nlease-ms = 2000\n{store}\
+                     [releases]\nversion = one\nnext = next\n{orders}"
+                )
+        };
+        let mut all = Cluster::edited(count, 300, |ix| ("east".into(), format!("m-{ix}")), edit);
+        std::fs::write(all.nodes[3].path("orders"), "").unwrap();
+        all.nodes.iter_mut().for_each(Node::start);
+        let field = Field {
+            all,
+            most_out,
+            serial: 0,
+            coming: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            went: Vec::new(),
+        };
+        assert!(within(LONG, || field.all.nodes.iter().all(is_ready)), "{}", field.all.told());
+        field.all.all_alive(60);
+        let sound = |it: &Node| it.figure("ottersail_council_sound") == 1.0;
+        assert!(within(LONG, || field.all.nodes[..3].iter().all(sound)), "{}", field.all.told());
+        field
+    }
+
+    /// Writes the next order into the file of m-3, and tells it.
+    pub fn order(&mut self, version: &str, before: &str, state: &str, more: &str) {
+        self.serial += 1;
+        let (fleet, most) = (self.all.nodes.len(), self.most_out);
+        let text = format!(
+            "[release spring]\nserial = {}\nwho = all\nversion = {version}\nbefore = {before}\n\
+             steps = one, 50%, all\nsettle-ms = 600\nuse-ms = 5000\nfleet = {fleet}\nmost-out = {most}\n\
+             halt-by = order\nstate = {state}\n{more}",
+            self.serial
+        );
+        std::fs::write(self.all.nodes[3].path("orders"), text).unwrap();
+        self.all.nodes[3].child.as_mut().unwrap().signal(Signal::HUP);
+    }
+
+    /// Starts again who went out by a permit, with the version that it was told; judges who is out.
+    pub fn look(&mut self) {
+        for ix in 0..self.all.nodes.len() {
+            let node = &mut self.all.nodes[ix];
+            let ended = node.child.as_mut().and_then(|it| it.ended());
+            if let Some(status) = ended {
+                node.child = None;
+                assert_eq!(status.code(), Some(RELEASED), "{} ended by itself: {}", node.name, node.log());
+                let version = std::fs::read_to_string(node.path("next")).unwrap();
+                self.went.push(ix);
+                self.start(ix, version.trim());
+            } else if self.coming.contains(&ix) && is_ready(&self.all.nodes[ix]) {
+                self.coming.remove(&ix);
+            }
+        }
+        // Whoever has gone is out until it is ready at least; the fleet itself waits for more than that.
+        let out = self.coming.len();
+        assert!(out <= self.most_out, "{out} are out by permits: {:?}{}", self.coming, self.all.told());
+    }
+
+    /// Starts a manager with that version in its settings.
+    pub fn start(&mut self, ix: usize, version: &str) {
+        let node = &mut self.all.nodes[ix];
+        let file = node.path("m.ini");
+        let text = std::fs::read_to_string(&file).unwrap();
+        let lines = text.lines().map(|it| {
+            let key = it.split('=').next().unwrap().trim();
+            if key == "version" {
+                format!("version = {version}\n")
+            } else {
+                format!("{it}\n")
+            }
+        });
+        std::fs::write(&file, lines.collect::<String>()).unwrap();
+        node.start();
+        self.lost.remove(&ix);
+        self.coming.insert(ix);
+    }
+
+    /// Killed outright, and left so.
+    pub fn kill(&mut self, ix: usize) {
+        self.all.nodes[ix].kill();
+        self.lost.insert(ix);
+    }
+
+    /// Looks until that holds; false if it does not in time.
+    pub fn until(&mut self, mut holds: impl FnMut(&mut Field) -> bool) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < LONG {
+            self.look();
+            if holds(self) {
+                return true;
+            }
+            std::thread::sleep(LOOK);
+        }
+        false
+    }
+
+    /// Looks for so long.
+    pub fn watch(&mut self, span: Duration) {
+        let began = Instant::now();
+        while began.elapsed() < span {
+            self.look();
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    /// How many run with that version, ready.
+    pub fn have(&self, version: &str) -> usize {
+        let has = |it: &&Node| {
+            it.child.is_some()
+                && std::fs::read_to_string(it.path("m.ini"))
+                    .unwrap()
+                    .contains(&format!("version = {version}\n"))
+        };
+        self.all.nodes.iter().filter(has).filter(|it| is_ready(it)).count()
+    }
+
+    /// Whether a line stands in any manager's log.
+    pub fn says(&self, line: &str) -> bool {
+        self.all.nodes.iter().any(|it| it.log().contains(line))
+    }
+
+    /// The whole of what is known, for a test that fails.
+    pub fn told(&self) -> String {
+        format!("went {:?}, coming {:?}, lost {:?}{}", self.went, self.coming, self.lost, self.all.told())
+    }
+}
+
+fn is_ready(node: &Node) -> bool {
+    node.child.is_some() && get(node.http, "/ready").starts_with("HTTP/1.1 200")
+}
