A suspicion ends with any newer word of the suspected itself

Between processes, one that stood still a second of three contradicted its suspicion to four of five members; the rumour had died down before it came to the fifth, which buried it 3 s later by its own running out, though messages of that member carry its newer incarnation (members/src/hearing.rs looked at it for the dead only, to accuse them again). Now a message of the accused's own life with a greater incarnation than is held ends the suspicion, or the burial, and is spread.

--- a/members/src/hearing.rs
+++ b/members/src/hearing.rs
@@ -3,7 +3,7 @@
 use crate::ids::MemberId;
 use crate::machine::{Members, LONGEST_RIDER};
 use crate::message::{Message, Sender, State};
-use crate::view::{Change, Hearing, Wishes};
+use crate::view::{Change, Hearing, Why, Wishes};
 use ottersail::time::Ms;
 
 impl Members {
@@ -27,7 +27,16 @@
                 peer.known.riders.insert(rider.topic, rider.bytes.clone());
             }
         }
-        let (state, hearing) = (peer.known.state, peer.known.hearing);
+        // Guards against a rumour that dies down on its way. Symptom without that: one that answers each probe
+        // is buried by a member alone, since its contradiction reached all others and not that one.
+        let accused = matches!(peer.known.state, State::Suspect | State::Dead);
+        if accused && message.incarnation > peer.known.incarnation {
+            peer.known.incarnation = message.incarnation;
+            self.set_state(now, from.id, State::Alive, Why::Refuted, out);
+            self.news_of(from.id, None).into_iter().for_each(|news| self.spread(news));
+        }
+        let Some(known) = self.peers.get(&from.id).map(|it| &it.known) else { return };
+        let (state, hearing) = (known.state, known.hearing);
         if matches!(hearing, Hearing::Nobody | Hearing::ByOthers) && state != State::Left {
             self.set_hearing(from.id, Hearing::OnlyIHear, out);
         }
--- a/members/tests/direct.rs
+++ b/members/tests/direct.rs
@@ -5,8 +5,8 @@
 use hands::{body, gossip, me, news, one, probe_of, run_to, sender, state};
 use ottersail::time::Ms;
 use ottersail_members::{
-    Body, Change, Hearing, Incarnation, Life, Me, Members, News, Rider, Sender, State, Terms, TermsError,
-    Topic,
+    Body, Change, Hearing, Incarnation, Life, Me, Members, Message, News, Rider, Sender, State, Terms,
+    TermsError, Topic,
 };
 use test_case::test_case;
 
@@ -93,6 +93,17 @@
     assert_eq!(told, [(sender(3).id, State::Suspect)]);
 }
 
+/// The rumour of it may have died down before it came here.
+#[test_case(0, State::Suspect; "the word that was suspected")]
+#[test_case(1, State::Alive; "a newer one")]
+fn its_own_newer_word_ends_a_suspicion(incarnation: u32, held: State) {
+    let (mut members, mut sink) = one(|_| {});
+    members.message(Ms(1.0), sender(2), gossip(vec![news(3, State::Suspect, 0)]), &mut sink);
+    let word = Message { incarnation: Incarnation(incarnation), ..gossip(vec![]) };
+    members.message(Ms(2.0), sender(3), word, &mut sink);
+    assert_eq!(state(&members, 3), Some(held));
+}
+
 #[test]
 fn an_ack_of_another_life_is_no_ack() {
     let (mut members, mut sink) = one(|_| {});
