On the second way a member says who it is

A member that was killed was never buried (30 s waited) once the member of another cluster got its HTTP address: any answer there counted as that member's life (daemon/src/fleet/door.rs, knock). The answer of /ready now carries the member's id (ottersail-member) and a knock counts only with the id that was sought; an address of two members is knocked at for neither. Unit cases: up_is_who_answers, another member and no member.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -16,6 +16,7 @@
 use async_channel::{Receiver, Sender};
 use book::Book;
 use council::{Council, Counsel};
+pub use door::MEMBER;
 use door::{Door, Doors, Knocks};
 use hands::Hands;
 use ottersail_members::gate::{Gate, Opened};
--- a/daemon/src/fleet/door.rs
+++ b/daemon/src/fleet/door.rs
@@ -110,16 +110,36 @@
     }
 }
 
-/// Whether the process there answers within `patience`. That its system takes the connection says nothing: it
-/// does so for a process that stands still as well.
-pub(super) async fn knock(door: Door, patience: Duration) -> bool {
+/// The header by which a member says who it is.
+pub const MEMBER: &str = "ottersail-member";
+/// An answer's head, as far as it is read.
+const MOST_HEAD: usize = 2_048;
+
+/// Whether that member is the one who answers.
+fn is_of(head: &[u8], id: MemberId) -> bool {
+    let head = String::from_utf8_lossy(head);
+    let named = |line: &str| {
+        let told = line.split_once(':').filter(|it| it.0.eq_ignore_ascii_case(MEMBER));
+        told.is_some_and(|it| it.1.trim() == id.to_string())
+    };
+    head.starts_with("HTTP/") && head.lines().any(named)
+}
+
+/// Whether that member's process answers there within `patience`. That its system takes the connection says
+/// nothing: it does so for a process that stands still as well. Nor does an answer alone: the address may be
+/// another's by now. Symptom without the name: one that was killed is never buried, since the member of
+/// another cluster that got its address answers in its place.
+pub(super) async fn knock(door: Door, id: MemberId, patience: Duration) -> bool {
     let ask = async {
         let mut stream = Stream::connect(SocketAddr::V4(door.0)).await.ok()?;
         let request = format!("HEAD /ready HTTP/1.1\r\nhost: {}\r\nconnection: close\r\n\r\n", door.0);
         stream.write_all(request.as_bytes()).await.ok()?;
-        let mut first = [0; 5];
-        stream.read_exact(&mut first).await.ok()?;
-        (&first == b"HTTP/").then_some(())
+        let (mut head, mut piece) = (Vec::new(), [0; 256]);
+        while head.len() < MOST_HEAD && !is_of(&head, id) {
+            let count = stream.read(&mut piece).await.ok().filter(|it| *it > 0)?;
+            head.extend_from_slice(&piece[..count]);
+        }
+        is_of(&head, id).then_some(())
     };
     let over = async {
         Timer::after(patience).await;
@@ -169,7 +189,9 @@
         assert!(knocks.one_more().is_some());
     }
 
-    #[test_case(b"HTTP/1.1 503 x\r\n\r\n", true; "not ready is up")]
+    #[test_case(b"HTTP/1.1 503 x\r\nOttersail-Member: 00000000000000a1\r\n\r\n", true; "not ready is up")]
+    #[test_case(b"HTTP/1.1 200 OK\r\nottersail-member: 00000000000000a2\r\n\r\n", false; "another member")]
+    #[test_case(b"HTTP/1.1 200 OK\r\n\r\n", false; "no member")]
     #[test_case(b"SSH-2.0", false; "something else")]
     #[test_case(b"", false; "a process that stands still, whose system takes connections")]
     fn up_is_who_answers(answer: &'static [u8], expected: bool) {
@@ -180,7 +202,7 @@
             std::thread::spawn(move || listener.accept().unwrap().0.write_all(answer));
         }
         let exec = executor();
-        let up = block_on(exec.run(knock(door, Duration::from_millis(400))));
+        let up = block_on(exec.run(knock(door, MemberId(0xa1), Duration::from_millis(400))));
         assert_eq!(up, expected);
     }
 }
--- a/daemon/src/fleet/second.rs
+++ b/daemon/src/fleet/second.rs
@@ -7,19 +7,20 @@
 impl Fleet {
     /// The second way: the member's own HTTP address. No answer within a period is none.
     pub(super) fn dial(&self, to: Address, tag: DialTag) {
+        // An address of two is of nobody: whoever answers there vouches for neither.
         let id = self.book.borrow().id(to);
-        let told = id.and_then(|id| self.doors.borrow().of(id, self.members.borrow().roster()));
-        // One that has not told it yet may have both at one address.
-        let door = told.unwrap_or(Door::at(to));
-        let Some(held) = self.knocks.one_more() else {
+        let (Some(id), Some(held)) = (id, self.knocks.one_more()) else {
             return self.dialled(tag, false);
         };
+        let told = self.doors.borrow().of(id, self.members.borrow().roster());
+        // One that has not told it yet may have both at one address.
+        let door = told.unwrap_or(Door::at(to));
         let Some(fleet) = self.me.upgrade() else {
             return;
         };
         let period = self.period;
         let task = async move {
-            let up = knock(door, period).await;
+            let up = knock(door, id, period).await;
             drop(held);
             fleet.dialled(tag, up);
         };
--- a/daemon/src/service.rs
+++ b/daemon/src/service.rs
@@ -1,5 +1,6 @@
 //! What players and operators may ask over HTTP.
 
+use crate::fleet::MEMBER;
 use crate::worker::Worker;
 use form_urlencoded::parse;
 use hyper::body::Incoming;
@@ -47,15 +48,24 @@
         }
         match path.as_str() {
             "/metrics" => said(StatusCode::OK, self.worker.page().await),
-            "/ready" if self.ready() => said(StatusCode::OK, "ready"),
-            "/ready" => said(StatusCode::SERVICE_UNAVAILABLE, "no list yet"),
+            "/ready" => self.ready(),
             _ => said(StatusCode::NOT_FOUND, "there is /watch/TITLE, /ready and /metrics"),
         }
     }
 
-    fn ready(&self) -> bool {
+    /// Also for other members, who knock here when datagrams are lost: they are told who it is.
+    fn ready(&self) -> Response<Body> {
         let shared = &self.worker.shared;
-        shared.listed.load(Ordering::Acquire) && shared.titled.load(Ordering::Acquire)
+        let ready = shared.listed.load(Ordering::Acquire) && shared.titled.load(Ordering::Acquire);
+        let mut response = match ready {
+            true => said(StatusCode::OK, "ready"),
+            false => said(StatusCode::SERVICE_UNAVAILABLE, "no list yet"),
+        };
+        let member = shared.reach.member.and_then(|it| HeaderValue::from_str(&it.to_string()).ok());
+        if let Some(member) = member {
+            response.headers_mut().insert(MEMBER, member);
+        }
+        response
     }
 
     async fn watch(
--- a/daemon/src/worker/shared.rs
+++ b/daemon/src/worker/shared.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use ottersail_front::Ms;
+use ottersail_members::MemberId;
 use ottersail_net::Clock;
 use ottersail_tickets::Keys;
 use std::sync::atomic::AtomicBool;
@@ -33,6 +34,8 @@
     pub connect: Ms,
     pub silence: Ms,
     pub stay_away: Option<f64>,
+    /// As what it is a member: who knocks for that one is told.
+    pub member: Option<MemberId>,
 }
 
 impl From<&Manager> for Reach {
@@ -46,6 +49,7 @@
             connect: it.links.connect,
             silence: it.links.silence,
             stay_away: it.terms.max_stay_away.map(|it| it.0),
+            member: it.members.as_ref().map(|it| MemberId::of(&it.cluster, &it.name)),
         }
     }
 }
