--- a/daemon/tests/members/cluster.rs
+++ b/daemon/tests/members/cluster.rs
@@ -1,17 +1,16 @@
 //! Members as processes of the program, with an exchange between them, looked at from outside.
 
-use crate::peer::{folder, get, settings, well, within, Peer};
+#[path = "node.rs"]
+pub mod node;
+
+use crate::peer::{folder, settings, well, within, Peer};
+pub use node::Node;
 use ottersail_net::{block_on, executor};
-use ottersail_rig::{Condition, Exchange, Process};
-use rustix::process::Signal;
+use ottersail_rig::{Condition, Exchange};
 use std::collections::BTreeMap;
-use std::fs::File;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
-use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
-use tempfile::TempDir;
 
 pub const KEYS: &str = "a AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\n";
 pub const CUT: Condition =
@@ -23,17 +22,6 @@
 
 type Turn = Box<dyn FnOnce(&Exchange) + Send>;
 
-/// One process, that may end and be started again under its name and addresses.
-pub struct Node {
-    pub name: String,
-    pub http: SocketAddr,
-    pub udp: SocketAddr,
-    folder: TempDir,
-    pub child: Option<Process>,
-    /// Stopped: it can't be asked.
-    still: bool,
-}
-
 /// All of them, and the exchange on a thread of its own.
 pub struct Cluster {
     pub nodes: Vec<Node>,
@@ -42,9 +30,6 @@
     turns: async_channel::Sender<Turn>,
 }
 
-/// State and hearing by name, as one node tells them.
-pub type Beliefs = BTreeMap<String, (String, String)>;
-
 /// Addresses that no other test holds: a network of its own for each process and cluster.
 fn own(cluster: u8, member: usize) -> (SocketAddr, SocketAddr) {
     let ip = [127, (std::process::id() % 200 + 16) as u8, cluster, member as u8 + 1];
@@ -102,7 +87,7 @@
                 );
             std::fs::write(folder.path().join("keys"), KEYS).unwrap();
             std::fs::write(folder.path().join("m.ini"), edit(ix, text)).unwrap();
-            Node { name, http: *http, udp: *udp, folder, child: None, still: false }
+            Node::new(name, (*http, *udp), folder)
         };
         let nodes = addresses.iter().enumerate().map(node).collect();
         Cluster { nodes, _peer: peer, turns }
@@ -131,7 +116,7 @@
 
     /// Those that run.
     pub fn up(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.iter().filter(|it| it.child.is_some() && !it.still)
+        self.nodes.iter().filter(|it| it.runs())
     }
 
     /// Whether all that run believe that of the one with that name.
@@ -183,66 +168,3 @@
 pub fn pairs(count: usize) -> impl Iterator<Item = (usize, usize)> {
     (0..count).flat_map(move |from| (0..count).map(move |to| (from, to))).filter(|it| it.0 != it.1)
 }
-
-impl Node {
-    pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(self.folder.path().join("log")).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_ottersail"));
-        command.arg("run").arg(self.folder.path().join("m.ini")).arg("--with-parent");
-        let started = Process::start(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log));
-        self.child = Some(started.unwrap());
-    }
-
-    pub fn kill(&mut self) {
-        self.child = None;
-    }
-
-    /// Told to end, and ended well.
-    pub fn stop(&mut self) {
-        let mut child = self.child.take().unwrap();
-        child.signal(Signal::TERM);
-        assert!(child.wait(Duration::from_secs(8)).is_some_and(|it| it.success()), "{}", self.log());
-    }
-
-    /// Stands still, or goes on.
-    pub fn hold(&mut self, still: bool) {
-        self.child.as_mut().unwrap().signal(if still { Signal::STOP } else { Signal::CONT });
-        self.still = still;
-    }
-
-    /// Other keys, and SIGHUP.
-    pub fn rekey(&mut self, keys: &str) {
-        std::fs::write(self.folder.path().join("keys"), keys).unwrap();
-        let taken = self.log().matches("settings taken over").count();
-        self.child.as_mut().unwrap().signal(Signal::HUP);
-        let takes = || self.log().matches("settings taken over").count() > taken;
-        assert!(within(Duration::from_secs(5), takes), "{}", self.log());
-    }
-
-    pub fn path(&self, file: &str) -> PathBuf {
-        self.folder.path().join(file)
-    }
-
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
-    }
-
-    pub fn beliefs(&self) -> Beliefs {
-        let page = get(self.http, "/metrics");
-        page.lines().filter_map(belief).collect()
-    }
-
-    /// A figure of its page by name and labels; 0 if it is not there.
-    pub fn figure(&self, name: &str) -> f64 {
-        let page = get(self.http, "/metrics");
-        let mut found = page.lines().filter_map(|it| it.strip_prefix(name)?.strip_prefix(' '));
-        found.next().and_then(|it| it.trim().parse().ok()).unwrap_or(0.0)
-    }
-}
-
-/// `ottersail_member{name="m-1",state="alive",hearing="both"} 1`
-fn belief(line: &str) -> Option<(String, (String, String))> {
-    let mut parts = line.strip_prefix("ottersail_member{name=\"")?.split('"');
-    let name = parts.next()?.to_string();
-    Some((name, (parts.nth(1)?.to_string(), parts.nth(1)?.to_string())))
-}
