A manager that is told to end gives its slots back

Cause: on SIGTERM a manager's slots lay idle until their lease ended, with each release of the program again. Change: Holder::leave holds nothing from then on, and after stopped() proposes the release of all registers at once and tries again at once after a conflict; the daemon tells the module the kept slot alone, then lets go and tells the councillors, within the 100 ms that the last answers take anyway, and leaves the members after that. Tests between processes: one of three told to end, councillors of five and seven killed at once and restarted by turns, a store lost behind a cut, a second process of a councillor's name, a majority standing still for 3 s, a majority cut one way; each look checks that no slot has two holders and no revision goes back.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -219,8 +219,9 @@
         self.gate.borrow_mut().rekey(keys);
     }
 
-    /// Tells the others that this one goes.
-    pub fn leave(&self) {
+    /// Gives back what was leased, for so long at most, and tells the others that this one goes.
+    pub async fn leave(&self, at_most: Duration) {
+        self.give_back(at_most).await;
         let now = self.now();
         self.told(None, |it, out| it.leave(now, out));
         info!(target: "members", name = self.name, "left");
--- a/daemon/src/fleet/council.rs
+++ b/daemon/src/fleet/council.rs
@@ -7,6 +7,8 @@
 mod figures;
 mod keeper;
 mod keys;
+#[cfg(test)]
+mod leave_tests;
 mod lines;
 mod orders;
 mod post;
@@ -194,6 +196,21 @@
         self.settle(now, wants, out);
     }
 
+    /// This manager ends: the module goes by the kept slot alone, and the rest is given back by
+    /// [`Council::shrunk`], as with any smaller part.
+    pub fn leave(&mut self, now: Ms, out: &mut Outs) {
+        let mut wants = Wants::default();
+        if let Some(held) = &mut self.held {
+            held.holder.leave(now, &mut wants);
+        }
+        self.settle(now, wants, out);
+    }
+
+    /// No register has a slot in this member's name, as far as is known here.
+    pub fn gave_all_back(&self) -> bool {
+        self.held.as_ref().is_none_or(|it| it.holder.gave_all_back())
+    }
+
     /// Goes through all that follows.
     fn settle(&mut self, now: Ms, mut wants: Wants, out: &mut Outs) {
         let mut queue: VecDeque<Input> = VecDeque::new();
--- a/daemon/src/fleet/council/carry.rs
+++ b/daemon/src/fleet/council/carry.rs
@@ -10,8 +10,11 @@
 use prometheus_client::registry::Registry;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
-use std::time::Duration;
-use tracing::error;
+use std::time::{Duration, Instant};
+use tracing::{error, info};
+
+/// Between two looks at whether the registers say that the slots are given back.
+const LOOK: Duration = Duration::from_millis(2);
 
 /// What a fleet holds of it.
 pub(in crate::fleet) struct Counsel {
@@ -55,6 +58,20 @@
         }
     }
 
+    /// On the way out: the module goes by its kept slot alone, and then the slots are given back, for so long
+    /// at most. Symptom without that: with each release a manager's part lies idle for a lease.
+    pub(in crate::fleet) async fn give_back(&self, at_most: Duration) {
+        self.council(|it, now, outs| it.leave(now, outs));
+        let given = || self.counsel.council.borrow().as_ref().is_none_or(Council::gave_all_back);
+        let until = Instant::now() + at_most;
+        while !given() && Instant::now() < until {
+            Timer::after(LOOK).await;
+        }
+        if self.counsel.council.borrow().is_some() {
+            info!(target: "parts", all = given(), "slots given back");
+        }
+    }
+
     /// One input, and what follows from it.
     fn council(&self, input: impl FnOnce(&mut Council, Ms, &mut Outs)) {
         let Some(mut shrunk) = self.with_council(input) else { return };
--- a/daemon/src/fleet/council/share_tests.rs
+++ b/daemon/src/fleet/council/share_tests.rs
@@ -5,11 +5,11 @@
 use ottersail::time::Ms;
 use ottersail_parts::{Bucket, BucketNo, Guards, Holder, Life, MemberId, Renewed, Terms};
 
-const ME: (MemberId, Life) = (MemberId(1), Life(2));
-const COUNCILLOR: MemberId = MemberId(9);
-const WINDOW: Ms = Ms(300.0);
+pub(super) const ME: (MemberId, Life) = (MemberId(1), Life(2));
+pub(super) const COUNCILLOR: MemberId = MemberId(9);
+pub(super) const WINDOW: Ms = Ms(300.0);
 
-fn holder() -> Holder {
+pub(super) fn holder() -> Holder {
     #[allow(clippy::default_constructed_unit_structs)]
     let guards = Guards::default();
     let terms = Terms { slots: 32, lease_ms: 1_000, drift_ppm: 0, councillors: vec![COUNCILLOR], guards };
@@ -17,7 +17,7 @@
 }
 
 /// Holds so many slots from then on, asked for at that moment.
-fn holds(holder: &mut Holder, now: Ms, revision: u64, slots: usize) {
+pub(super) fn holds(holder: &mut Holder, now: Ms, revision: u64, slots: usize) {
     holder.aim(now, slots as u16, &mut Wants::default());
     let body = Bucket::empty(24).acquire(slots, ME).body().unwrap();
     holder.learned(BucketNo(0), revision, &body, &mut Wants::default()).unwrap();
@@ -35,7 +35,7 @@
     }
 }
 
-fn share() -> Share {
+pub(super) fn share() -> Share {
     Share::new((3, 5.0), 32, WINDOW)
 }
 
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -32,6 +32,8 @@
 
 /// A drain ends by then, should a request be stuck: no patience is longer.
 const LONGEST_DRAIN: Duration = Duration::from_secs(130);
+/// What was answered last goes out in that time.
+const LAST_WORDS: Duration = Duration::from_millis(100);
 
 /// Reads a settings file and its keys.
 ///
@@ -130,20 +132,28 @@
             }
         }
         owner.tell(&Told::Drain);
-        if let Some(fleet) = owner.fleet.get() {
-            fleet.leave();
-        }
+        // Takes no longer than what was answered last takes anyway: nobody waits for the council.
+        let left = async {
+            if let Some(fleet) = owner.fleet.get() {
+                fleet.leave(LAST_WORDS).await;
+            }
+        };
         let done = async {
             while owner.front(|it| it.waiting()) > 0 {
                 Timer::after(Duration::from_millis(10)).await;
             }
             // What was answered last still has to go out.
-            Timer::after(Duration::from_millis(100)).await;
+            Timer::after(LAST_WORDS).await;
         };
-        futures_lite::future::or(done, async {
-            Timer::after(LONGEST_DRAIN).await;
-            error!("requests were left unanswered at the end of the drain");
-        })
+        futures_lite::future::or(
+            async {
+                futures_lite::future::zip(left, done).await;
+            },
+            async {
+                Timer::after(LONGEST_DRAIN).await;
+                error!("requests were left unanswered at the end of the drain");
+            },
+        )
         .await;
         info!("ended");
         Ok(())
--- a/daemon/tests/council/losses.rs
+++ b/daemon/tests/council/losses.rs
@@ -24,9 +24,8 @@
     println!("no slot is held {:?} after the majority was killed", began.elapsed());
     let before: Vec<_> = all.0.up().map(revisions).collect();
     assert!(before.iter().flatten().all(|it| *it >= 1.0), "{before:?}");
-    // One each: this server tells nothing of its link, and a manager with its kept slot alone takes it for
-    // nearly full of others' viewings.
-    for node in all.0.up() {
+    // Three each, on the kept slot alone.
+    for node in (0..3).flat_map(|_| all.0.up()) {
         let answer = get(node.http, ASK);
         assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("#EXTM3U"), "{answer}{}", node.log());
     }
--- a/daemon/tests/council/main.rs
+++ b/daemon/tests/council/main.rs
@@ -4,7 +4,10 @@
 #[allow(dead_code)]
 #[path = "../members/cluster.rs"]
 mod cluster;
+mod cuts;
+mod leaving;
 mod losses;
+mod many;
 mod odd;
 #[allow(dead_code)]
 #[path = "../peer/mod.rs"]
--- a/parts/src/holder.rs
+++ b/parts/src/holder.rs
@@ -8,7 +8,7 @@
 use crate::trouble::PartsError;
 use crate::wishes::Wishes;
 use ottersail::time::Ms;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod change;
 mod lease;
@@ -81,6 +81,8 @@
     looked: bool,
     tries: u32,
     wanted: u16,
+    /// This member ends: nothing is taken up any more.
+    leaving: bool,
     alive: BTreeMap<MemberId, Life>,
     chance: u64,
 }
@@ -102,6 +104,7 @@
             looked: false,
             tries: 0,
             wanted: 0,
+            leaving: false,
             alive: BTreeMap::new(),
             // Members that were given seeds in a row must not all turn to the same register.
             chance: seed ^ me.0 .0.wrapping_add(me.1 .0).wrapping_mul(SPREAD) | 1,
@@ -138,7 +141,7 @@
 
     /// How many slots to hold from now on; [`crate::Needs::aim`] says it.
     pub fn aim(&mut self, now: Ms, wanted: u16, out: &mut dyn Wishes) {
-        self.wanted = wanted.min(self.terms.slots);
+        self.wanted = if self.leaving { 0 } else { wanted.min(self.terms.slots) };
         self.bell(now, out);
     }
 
@@ -175,6 +178,9 @@
             self.slots.retain(|_, it| !it.stopping);
         }
         self.tell_releases(out);
+        if self.leaving {
+            self.propose_all(now, out);
+        }
         self.act_at = At(now);
         self.bell(now, out);
     }
@@ -205,7 +211,10 @@
                 self.lose(slot, out);
             }
             let new = known.is_none_or(|epoch| epoch < it.epoch) && !self.let_go.contains_key(&slot);
-            if it.held == Some(self.me) && new {
+            if it.held == Some(self.me) && new && self.leaving {
+                // Asked for before this member was told to end, and never counted: it goes back as it came.
+                self.let_go.insert(slot, it.epoch);
+            } else if it.held == Some(self.me) && new {
                 out.note(Note::Acquired);
                 let mine = Mine { epoch: it.epoch, until: At::NEVER, refused: 0, stopping: false };
                 self.slots.insert(slot, mine);
--- a/parts/src/holder/change.rs
+++ b/parts/src/holder/change.rs
@@ -60,6 +60,11 @@
                 self.books.remove(&no);
                 let read = self.learned(no, revision, &body, out);
                 self.back_off(now);
+                // Symptom without that: of those told to end at once one gives back, the others go before their
+                // next try.
+                if self.leaving && self.let_go.keys().any(|it| it.bucket() == no) {
+                    self.propose_release(now, no, out);
+                }
                 read
             }
             Answer::Refused => {
@@ -83,9 +88,7 @@
         let kept = self.kept();
         if let Some(no) = self.let_go.keys().next().map(|it| it.bucket()) {
             self.tell_releases(out);
-            let seats: Vec<usize> =
-                self.let_go.keys().filter(|it| it.bucket() == no).map(|it| it.seat()).collect();
-            self.change(now, no, out, |bucket, me| bucket.release(&seats, me));
+            self.propose_release(now, no, out);
         } else if kept > self.wanted && self.holds(now).is_some() {
             self.stop_some(now, usize::from(kept - self.wanted), out);
         } else if kept < self.wanted {
@@ -95,6 +98,32 @@
         }
     }
 
+    /// This member ends: from now on nothing is held, and nothing is taken up any more. As with any smaller
+    /// part, once nothing rests on what was held: [`Holder::stopped`], which gives all of it back.
+    pub fn leave(&mut self, now: Ms, out: &mut dyn Wishes) {
+        (self.leaving, self.wanted) = (true, 0);
+        self.slots.values_mut().for_each(|it| it.stopping = true);
+        out.shrink(self.holds(now));
+    }
+
+    /// No register that is known here has a slot in this member's name.
+    pub fn gave_all_back(&self) -> bool {
+        self.slots.is_empty() && self.let_go.is_empty()
+    }
+
+    /// All registers at once: who ends has no time for one after the other. What is not answered in time is
+    /// done by the councillors all the same, and what is lost goes to others at the lease's end.
+    pub(super) fn propose_all(&mut self, now: Ms, out: &mut dyn Wishes) {
+        let all: BTreeSet<BucketNo> = self.let_go.keys().map(|it| it.bucket()).collect();
+        all.into_iter().for_each(|no| self.propose_release(now, no, out));
+    }
+
+    fn propose_release(&mut self, now: Ms, no: BucketNo, out: &mut dyn Wishes) {
+        let seats: Vec<usize> =
+            self.let_go.keys().filter(|it| it.bucket() == no).map(|it| it.seat()).collect();
+        self.change(now, no, out, |bucket, me| bucket.release(&seats, me));
+    }
+
     /// Out of the bucket where this member has fewest, so that few registers are written for it later.
     fn stop_some(&mut self, now: Ms, count: usize, out: &mut dyn Wishes) {
         let mut mine: BTreeMap<BucketNo, usize> = BTreeMap::new();
--- a/parts/src/tests/holding.rs
+++ b/parts/src/tests/holding.rs
@@ -93,6 +93,57 @@
     assert_eq!(holder.kept(), 1);
 }
 
+/// Slots of 28 in two registers, two in each.
+fn holds_in_two(out: &mut Wished) -> Holder {
+    let mut holder = Holder::born(Ms(0.0), 5, A, terms(28, 3));
+    for (no, seats) in [(0, 24), (1, 4)] {
+        let body = Bucket::empty(seats).acquire(2, A).body().unwrap();
+        holder.learned(BucketNo(no), 7, &body, out).unwrap();
+    }
+    holder.aim(Ms(0.0), 4, out);
+    [1, 2].iter().for_each(|it| answer(&mut holder, 1.0, *it, &[], out));
+    assert_eq!(holder.holds(Ms(1.0)).map(|it| it.slots), Some(4));
+    holder
+}
+
+#[test]
+fn who_ends_holds_nothing_and_gives_back_all_registers_at_once_after_the_stop() {
+    let mut out = Wished::default();
+    let mut holder = holds_in_two(&mut out);
+    holder.leave(Ms(2.0), &mut out);
+    assert_eq!((holder.holds(Ms(2.0)), &out.shrunk), (None, &vec![None]));
+    assert_eq!((out.releases, out.proposals.len(), holder.gave_all_back()), (0, 0, false), "not before");
+    holder.stopped(Ms(3.0), &mut out);
+    assert_eq!(out.releases, 3, "all in one page to each councillor");
+    let freed: Vec<_> = out.proposals.iter().map(|it| (it.0, it.1)).collect();
+    assert_eq!(freed, [(BucketNo(0), 7), (BucketNo(1), 7)]);
+    for (no, _, body) in std::mem::take(&mut out.proposals) {
+        let seats = if no == BucketNo(0) { 24 } else { 4 };
+        assert_eq!(Bucket::read(no, seats, &body).unwrap().free(), seats);
+        holder.answered(Ms(4.0), no, Answer::Chosen { revision: 8, body }, &mut out).unwrap();
+    }
+    assert!(holder.gave_all_back() && out.proposals.is_empty());
+}
+
+/// Symptom without that: what was asked for before comes after all, and lies idle for a lease.
+#[test]
+fn who_ends_takes_nothing_up_any_more_and_tries_again_at_once() {
+    let mut out = Wished::default();
+    let mut holder = holds_in_two(&mut out);
+    holder.leave(Ms(2.0), &mut out);
+    holder.stopped(Ms(2.0), &mut out);
+    out.proposals.clear();
+    let renewals = out.renewals.len();
+    holder.aim(Ms(3.0), 4, &mut out);
+    // Another's change came before, and so did an own one: five seats are this member's now.
+    let body = Bucket::empty(24).acquire(5, A).body().unwrap();
+    holder.answered(Ms(4.0), BucketNo(0), Answer::Conflict { revision: 9, body }, &mut out).unwrap();
+    let [(no, revision, body)] = &out.proposals[..] else { panic!("{:?}", out.proposals) };
+    assert_eq!((*no, *revision, Bucket::read(*no, 24, body).unwrap().free()), (BucketNo(0), 9, 24));
+    holder.bell(Ms(4_000.0), &mut out);
+    assert_eq!((holder.holds(Ms(4_000.0)), holder.kept(), out.renewals.len()), (None, 0, renewals));
+}
+
 fn needs(own: u32, others: &[(u64, Option<(u32, u16)>)], slots: u16) -> Needs {
     let mut needs = Needs::born(Ms(0.0), MemberId(1), terms(slots, 3));
     needs.arrived(Ms(0.0), own);
