--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -55,6 +55,8 @@
     ("value of what was watched", Figures::value),
     ("blocked, in 100", |it| 100.0 * it.blocked as f64 / it.asked.max(1) as f64),
     ("aborted, in 100", |it| 100.0 * it.aborted as f64 / it.asked.max(1) as f64),
+    ("cold set-ups, of 100 allowed", |it| 100.0 * it.cold_set_ups as f64 / it.cold_allowed.max(1.0)),
+    ("cold servers that fell", |it| it.fell as f64),
     ("short delivery, in 100", |it| 100.0 * it.short as f64 / it.sampled.max(1) as f64),
     ("stalled, s a viewing", |it| it.stalled_ms / 1e3 / it.played.max(1) as f64),
     ("steps a viewing", |it| (it.steps_up + it.steps_down) as f64 / it.played.max(1) as f64),
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -5,6 +5,7 @@
 use crate::errors::LabError;
 use crate::figures::Figures;
 use crate::model::Model;
+use crate::parts::By;
 use ottersail_daemon::settings::day::read_day;
 use ottersail_daemon::settings::sheet::Sheet;
 use ottersail_front::baseline::{Baseline, Pick};
@@ -15,13 +16,17 @@
 use std::path::Path;
 
 /// Results of another version of the model are not compared with.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+const PARTS: &str = "expected number, or equal or need and a lease in milliseconds from 1000 to 60000";
+
+#[derive(Clone, Debug, PartialEq)]
 pub struct Variant {
     pub name: String,
     /// `None`: the module.
     pub pick: Option<Pick>,
+    /// Slots leased for so many milliseconds; `None`: parts by number.
+    pub leased: Option<(By, f64)>,
     /// Section, key, value.
     changes: Vec<(String, String, String)>,
     /// Faults that are left out, by the whole heading.
@@ -78,8 +83,13 @@
         ];
         let mut variants = Vec::new();
         for (name, section) in sheet.sections("variant") {
-            let mut it =
-                Variant { name: name.to_string(), pick: None, changes: Vec::new(), without: Vec::new() };
+            let mut it = Variant {
+                name: name.to_string(),
+                pick: None,
+                leased: None,
+                changes: Vec::new(),
+                without: Vec::new(),
+            };
             for (key, value) in section.all() {
                 match key.rsplit_once('.') {
                     Some((of, key)) => it.changes.push((of.into(), key.into(), value.into())),
@@ -88,10 +98,24 @@
                         None if value == "module" => {}
                         None => section.complain(key, "expected module, random, least-loaded or lowest-rung"),
                     },
+                    None if key == "parts" => match value.split_once(char::is_whitespace) {
+                        Some((by, lease)) => {
+                            let by =
+                                [("equal", By::Equal), ("need", By::Need)].into_iter().find(|it| it.0 == by);
+                            let lease =
+                                lease.trim().parse().ok().filter(|it| (1_000.0..=60_000.0).contains(it));
+                            match (by, lease) {
+                                (Some((_, by)), Some(lease)) => it.leased = Some((by, lease)),
+                                _ => section.complain(key, PARTS),
+                            }
+                        }
+                        None if value == "number" => {}
+                        None => section.complain(key, PARTS),
+                    },
                     None if key == "without" => {
                         it.without = value.split(',').map(|it| format!("fault {}", it.trim())).collect();
                     }
-                    None => section.complain(key, "expected policy, without, or section.key = value"),
+                    None => section.complain(key, "expected policy, parts, without, or section.key = value"),
                 }
             }
             variants.push(it);
@@ -170,7 +194,10 @@
             None => Box::new(Brain::born(now, seed, terms, out)),
             Some(pick) => Box::new(Baseline::new(terms, pick, seed)),
         });
-        let model = model.map_err(|source| LabError::Model { day: day.into(), source })?;
+        let mut model = model.map_err(|source| LabError::Model { day: day.into(), source })?;
+        if let Some((by, lease)) = self.leased {
+            model.leased(by, lease);
+        }
         let (figures, detail, drift) = model.run();
         let broken = figures.broken_laws(drift);
         let (day, variant, settings) = (day.to_string(), self.name.clone(), self.settings(&text));
@@ -178,7 +205,7 @@
     }
 
     pub(crate) fn settings(&self, applied: &str) -> String {
-        let sum = Sha256::digest(format!("{:?}\n{applied}", self.pick));
+        let sum = Sha256::digest(format!("{:?} {:?}\n{applied}", self.pick, self.leased));
         sum.iter().take(8).map(|it| format!("{it:02x}")).collect()
     }
 }
--- a/lab/src/experiment/tests.rs
+++ b/lab/src/experiment/tests.rs
@@ -3,7 +3,7 @@
 fn variant(changes: &[(&str, &str, &str)], without: &[&str]) -> Variant {
     let changes = changes.iter().map(|it| (it.0.into(), it.1.into(), it.2.into())).collect();
     let without = without.iter().map(|it| (*it).to_string()).collect();
-    Variant { name: "v".into(), pick: None, changes, without }
+    Variant { name: "v".into(), pick: None, leased: None, changes, without }
 }
 
 const DAY: &str = "; a day\n[day]\nseed = 1\nseconds = 2\n\n[fault a b]\nkind = crash\n";
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -24,6 +24,8 @@
     /// Set-ups at cold servers, and cold servers that fell.
     pub cold_set_ups: u64,
     pub fell: u64,
+    /// Set-ups that all managers together would send to cold servers at most, by the rule's pace.
+    pub cold_allowed: f64,
     /// Worth of what was watched, over that of the best that each device could use; seconds.
     pub offered: f64,
     pub earned: f64,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod grid;
 pub mod links;
 pub mod model;
+pub mod parts;
 pub mod player;
 pub mod report;
 pub mod wheel;
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -18,6 +18,7 @@
 use crate::errors::ModelError;
 use crate::figures::Figures;
 use crate::links::{Links, Manager, Rack, ServerNo, Warming};
+use crate::parts::Parts;
 use crate::wheel::Wheel;
 use event::Event;
 use kept::{Kept, Post, Viewer};
@@ -54,6 +55,8 @@
     viewers: Vec<Viewer>,
     free: Vec<usize>,
     asks: u64,
+    /// `None`: parts by number, as without a council.
+    parts: Option<Parts>,
     /// What is known of each server, by when the list tells it.
     news: Vec<(f64, ServerNo, Option<Listed>)>,
     list: BTreeMap<usize, Listed>,
@@ -133,6 +136,7 @@
             viewers: Vec::new(),
             free: Vec::new(),
             asks: 0,
+            parts: None,
             news: Vec::new(),
             list: BTreeMap::new(),
             index: 0,
@@ -191,10 +195,6 @@
         (self.figures, detail, drift)
     }
 
-    fn second(&self) -> f64 {
-        (self.now - START) / 1e3
-    }
-
     fn way(&mut self) -> f64 {
         WAY * (1.0 + self.rng.f64())
     }
@@ -207,6 +207,7 @@
         match event {
             Event::Arrive => self.arrive(),
             Event::Span => self.span_ends(),
+            Event::Parts => self.share_out(),
             Event::Step { viewer, life, step } => {
                 if self.viewers[viewer].life == life {
                     self.step(viewer, step);
--- a/lab/src/model/asking.rs
+++ b/lab/src/model/asking.rs
@@ -28,6 +28,7 @@
         if first {
             self.titles.entry((package, title)).or_default().0 += 1;
             self.figures.asked += 1;
+            self.parts.iter_mut().for_each(|it| it.arrived(manager.0));
         } else {
             self.figures.reloads += 1;
         }
@@ -66,6 +67,14 @@
         }
     }
 
+    /// A number below that one; as the day says it, viewers lean to the first managers.
+    fn one_of(&mut self, count: usize) -> usize {
+        match self.plan.day.lean {
+            lean if lean > 0.0 => (self.rng.f64().powf(1.0 + lean) * count as f64) as usize,
+            _ => self.rng.usize(..count),
+        }
+    }
+
     pub(super) fn step(&mut self, viewer: usize, step: Step) {
         let now = self.now;
         match step {
@@ -74,8 +83,7 @@
                 let (zones, count) = (self.plan.day.zones.len(), self.posts.len());
                 // One of the managers of its zone, or any if the zone has none.
                 let near = (count + zones - 1 - zone) / zones;
-                let manager =
-                    if near > 0 { zone + zones * self.rng.usize(..near) } else { self.rng.usize(..count) };
+                let manager = if near > 0 { zone + zones * self.one_of(near) } else { self.one_of(count) };
                 let day = &self.plan.day;
                 let it = &mut self.viewers[viewer];
                 it.manager = Manager(manager);
--- a/lab/src/model/event.rs
+++ b/lab/src/model/event.rs
@@ -7,6 +7,8 @@
 
 pub enum Event {
     Arrive,
+    /// All managers look at their parts.
+    Parts,
     /// A span of the day ends.
     Span,
     Step {
--- a/lab/src/model/managers.rs
+++ b/lab/src/model/managers.rs
@@ -4,6 +4,7 @@
 use super::wishes::Wishes;
 use super::Model;
 use crate::links::Manager;
+use crate::parts::{By, Parts};
 use ottersail_front::ids::ManagerIx;
 use ottersail_front::tape::Told;
 use ottersail_front::{Front, House, Ms};
@@ -32,6 +33,7 @@
         post.front = Some(front);
         post.life += 1;
         post.armed = f64::INFINITY;
+        self.parts.iter_mut().for_each(|it| it.forget(manager.0));
         self.carry_out(manager, wishes);
         let (day, list) = (&self.plan.day, self.list.values().cloned().collect());
         let cells = self.plan.terms.cells.max(1);
@@ -48,6 +50,22 @@
         self.tell(manager, listed);
     }
 
+    /// The managers hold leased slots besides, with leases of so many milliseconds.
+    pub fn leased(&mut self, by: By, lease: f64) {
+        let parts = Parts::new(by, self.now, lease, self.plan.day.fall, self.posts.len());
+        self.wheel.put(self.now, Event::Parts);
+        self.parts = Some(parts);
+    }
+
+    pub(super) fn share_out(&mut self) {
+        let Some(parts) = &mut self.parts else { return };
+        let (tells, every) = (parts.look(self.now), parts.every());
+        for (ix, part) in tells {
+            self.tell(Manager(ix), Told::Part { part });
+        }
+        self.after(every, Event::Parts);
+    }
+
     pub(super) fn tell(&mut self, manager: Manager, told: Told) {
         let now = self.now;
         let post = &mut self.posts[manager.0];
--- a/lab/src/model/servers.rs
+++ b/lab/src/model/servers.rs
@@ -4,7 +4,7 @@
 use super::kept::Kept;
 use super::wishes::name;
 use super::{Model, SILENCE};
-use crate::links::{Manager, Server, ServerNo};
+use crate::links::{Manager, Server, ServerNo, Warming};
 use ottersail_front::tape::Told;
 use ottersail_wire::notes::{EndCause, Note};
 use ottersail_wire::report::Report;
@@ -83,6 +83,12 @@
         self.links.remember(it, now);
         let report = self.links.report(it);
         self.figures.sampled += 1;
+        if self.links.warmth(it, now) < 1.0 {
+            let Warming { lasts, start_capacity, fall_multiple, .. } = self.links.warming;
+            let weight = if self.plan.day.packages.len() > 1 { 1.5 } else { 1.0 };
+            let pace = self.links.servers[it.0].places / lasts * start_capacity * fall_multiple / weight;
+            self.figures.cold_allowed += pace * SAMPLE;
+        }
         let short = u64::from(report.delivered.is_some_and(|it| it < 0.98));
         self.figures.short += short;
         let rack = &mut self.racks[self.links.servers[it.0].rack];
--- a/lab/src/model/viewers.rs
+++ b/lab/src/model/viewers.rs
@@ -2,7 +2,7 @@
 
 use super::event::{Event, Step};
 use super::kept::Viewer;
-use super::Model;
+use super::{Model, START};
 use crate::crowd::{draw, gap};
 use crate::links::Manager;
 use crate::player::Buffer;
@@ -12,6 +12,10 @@
 const MOST_TRIES: u8 = 3;
 
 impl Model {
+    pub(super) fn second(&self) -> f64 {
+        (self.now - START) / 1e3
+    }
+
     pub(super) fn arrive(&mut self) {
         let second = self.second();
         let gap = gap(&self.plan.day, &mut self.rng, second);
