--- a/daemon/tests/council/main.rs
+++ b/daemon/tests/council/main.rs
@@ -5,7 +5,10 @@
 #[allow(dead_code)]
 #[path = "../members/cluster.rs"]
 mod cluster;
+mod cuts;
+mod leaving;
 mod losses;
+mod many;
 mod odd;
 #[allow(dead_code)]
 #[path = "../peer/mod.rs"]
