Members and council measured between processes at size; the council's answers timed

Each member counts how long the council took to answer it (ottersail_council_answer_seconds, by ask and outcome).

--- a/bench/src/errors.rs
+++ b/bench/src/errors.rs
@@ -22,6 +22,12 @@
     /// With what it said on standard error.
     #[error("{what} told no figures but {told:?}: {said}; try a lower rate, or start it alone as `{again}`")]
     NoFigures { what: &'static str, told: String, said: String, again: String },
+    #[error(
+        "cluster of {members}: after {seconds} s not seen that {what}; see its logs in {folder}, play fewer"
+    )]
+    NotSeen { members: usize, seconds: u64, what: String, folder: String },
+    #[error("{file}: not written: {source}; see that there is room for a few MB, and TMPDIR")]
+    File { file: String, source: io::Error },
     #[error("thread of {what} at {address} broke off; look at what it said above, and try a lower rate")]
     BrokeOff { what: &'static str, address: SocketAddr },
 }
--- a/bench/src/errors/tests.rs
+++ b/bench/src/errors/tests.rs
@@ -19,6 +19,10 @@
     BenchError::Manager { address: "127.0.0.1:9".into(), cause: "in use".into() }
 }
 
+fn not_seen() -> BenchError {
+    BenchError::NotSeen { members: 7, seconds: 9, what: "a death is known".into(), folder: "/tmp/x".into() }
+}
+
 fn broke_off() -> BenchError {
     BenchError::BrokeOff { what: "the load", address: SocketAddr::from(([127, 0, 0, 1], 9)) }
 }
@@ -50,6 +54,11 @@
     &no_figures(), ["no figures but \"x\": no room", "one rate told", "`at-rate module 400`"];
     "figures"
 )]
+#[test_case(&not_seen(), ["a death", "cluster of 7", "play fewer"]; "not seen")]
+#[test_case(
+    &BenchError::File { file: "/tmp/m.ini".into(), source: cause() },
+    ["not written", "/tmp/m.ini", "TMPDIR"]; "file"
+)]
 #[test_case(&broke_off(), ["broke off", "the load at 127.0.0.1:9", "a lower rate"]; "thread")]
 fn a_text_says_what_where_and_what_to_try(error: &BenchError, parts: [&str; 3]) {
     let told = error.to_string();
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,10 +9,12 @@
 mod managing;
 mod published;
 mod queue;
+mod scale;
 mod shared;
 mod timed;
 
 use clap::{Parser, Subcommand};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Measures the session manager.
@@ -59,6 +61,29 @@
         #[arg(long, default_values_t = [10_000, 100_000, 1_000_000, 10_000_000])]
         pending: Vec<usize>,
     },
+    /// Members as processes of the program: at rest, deaths one after the other, and the council's slots.
+    Scale {
+        /// The program's own file, a release build.
+        #[arg(long, default_value = "target/release/ottersail")]
+        program: PathBuf,
+        #[arg(long, default_value_t = 30)]
+        members: usize,
+        /// None, 3, 5 or 7.
+        #[arg(long, default_value_t = 0)]
+        councillors: usize,
+        #[arg(long, default_value_t = 64)]
+        slots: u16,
+        #[arg(long, default_value_t = 10_000)]
+        lease_ms: u32,
+        /// At rest.
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        #[arg(long, default_value_t = 5)]
+        deaths: usize,
+        /// Managers beside them without members, to compare with.
+        #[arg(long, default_value_t = 3)]
+        plain: usize,
+    },
     /// Memory after many viewings were set up and ended, in the library.
     Memory {
         #[arg(long, default_values_t = [10_000, 200_000])]
@@ -82,6 +107,10 @@
             queue::measure(&pending);
             Ok(())
         }
+        What::Scale { program, members, councillors, slots, lease_ms, seconds, deaths, plain } => {
+            let plan = scale::Plan { program, members, councillors, slots, lease_ms, plain };
+            scale::measure(&plan, seconds, deaths)
+        }
         What::Memory { viewings } => library::memory(&viewings),
     };
     if let Err(trouble) = done {
--- a/daemon/src/fleet/council.rs
+++ b/daemon/src/fleet/council.rs
@@ -59,7 +59,8 @@
     /// Once the founding's figures are known.
     held: Option<Held>,
     share: Share,
-    asked: BTreeMap<u64, keys::Ask>,
+    /// With when it was asked.
+    asked: BTreeMap<u64, (keys::Ask, Ms)>,
     number: u64,
     look_at: Ms,
     arrivals: Cell<u32>,
--- a/daemon/src/fleet/council/figures.rs
+++ b/daemon/src/fleet/council/figures.rs
@@ -1,7 +1,9 @@
 //! The council's and the parts' lines on the page of figures.
 
+use super::keys::Ask;
 use super::{lines, Council};
 use ottersail::time::Ms;
+use ottersail_council::Outcome;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -15,9 +17,14 @@
 /// Seconds from a wish to keep until it is on the disk.
 const BOUNDS: [f64; 10] = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 2.0];
 
+/// Seconds from an own request until the council's answer; aimed at are one with all well, three with a
+/// minority dead.
+const ANSWERS: [f64; 11] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0, 6.0];
+
 #[derive(Debug)]
 pub(super) struct Tally {
     keeps: Histogram,
+    answers: Family<Of, Histogram, fn() -> Histogram>,
     granted: u64,
     refused: u64,
     unread: u64,
@@ -25,7 +32,8 @@
 
 impl Default for Tally {
     fn default() -> Tally {
-        Tally { keeps: Histogram::new(BOUNDS), granted: 0, refused: 0, unread: 0 }
+        let answers = Family::<_, _, fn() -> _>::new_with_constructor(|| Histogram::new(ANSWERS));
+        Tally { keeps: Histogram::new(BOUNDS), answers, granted: 0, refused: 0, unread: 0 }
     }
 }
 
@@ -34,6 +42,23 @@
         self.keeps.observe(took.as_secs_f64());
     }
 
+    /// An own request is over. Those without an answer count with the time that was waited for it.
+    pub fn answered(&self, ask: Ask, outcome: &Outcome, took: Ms) {
+        let ask = match ask {
+            Ask::Head => "head",
+            Ask::Read(_) => "read",
+            Ask::Propose(_) => "change",
+        };
+        let outcome = match outcome {
+            Outcome::Done(_) => "done",
+            Outcome::Now(_) => "now",
+            Outcome::Unanswered => "unanswered",
+            Outcome::Turned => "turned",
+        };
+        let of = vec![("ask", ask.into()), ("outcome", outcome.into())];
+        self.answers.get_or_create(&of).observe(took.0 / 1e3);
+    }
+
     /// Slots whose renewal this councillor granted and refused.
     pub fn renewals(&mut self, granted: usize, refused: usize) {
         self.granted += granted as u64;
@@ -84,6 +109,11 @@
             "Time until a promise was on the disk",
             self.tally.keeps.clone(),
         );
+        registry.register(
+            "council_answer_seconds",
+            "Time until the council's answer to this member; now: another's change stood before",
+            self.tally.answers.clone(),
+        );
         count(registry, "council_unread", "Messages that could not be read", self.tally.unread);
         count(
             registry,
--- a/daemon/src/fleet/council/orders.rs
+++ b/daemon/src/fleet/council/orders.rs
@@ -55,7 +55,7 @@
     pub(super) fn ask(&mut self, now: Ms, what: Ask, change: Change, wants: &mut Wants) {
         let guard = Leases(self.held.as_ref().map(|it| &it.renewals));
         self.number += 1;
-        self.asked.insert(self.number, what);
+        self.asked.insert(self.number, (what, now));
         self.seat.ask(now, self.number, (what.key(), change), &guard, wants);
     }
 
@@ -113,7 +113,8 @@
     }
 
     fn answered(&mut self, now: Ms, number: u64, outcome: Outcome, wants: &mut Wants) {
-        let Some(ask) = self.asked.remove(&number) else { return };
+        let Some((ask, asked)) = self.asked.remove(&number) else { return };
+        self.tally.answered(ask, &outcome, now - asked);
         match ask {
             Ask::Head => match outcome {
                 Outcome::Done(value) | Outcome::Now(Some(value)) => self.founded(now, &value),
--- a/daemon/tests/council/slots.rs
+++ b/daemon/tests/council/slots.rs
@@ -8,6 +8,8 @@
     let mut all = Table::full();
     let page = Page::of(&all.0.nodes[3]);
     let (slots, until) = (page.slots(), page.figure("ottersail_part_until"));
+    let changes = "ottersail_council_answer_seconds_count{ask=\"change\",outcome=\"done\"}";
+    assert!(page.figure(changes) >= 1.0, "it holds what it asked for: {}", page.0);
     all.0.nodes[3].kill();
     assert!(!slots.is_empty() && until > seconds(), "{}", page.0);
     let mut first = f64::INFINITY;
