--- a/members/src/entry.rs
+++ b/members/src/entry.rs
@@ -159,6 +159,10 @@
             }
             return;
         }
+        if news.life == me.life && news.state == State::Alive {
+            // Others have contradicted for it.
+            self.incarnation = self.incarnation.max(news.incarnation);
+        }
         let bad = news.state != State::Alive || news.life != me.life;
         if bad && news.incarnation >= self.incarnation {
             self.incarnation = news.incarnation.next();
--- a/members/src/machine.rs
+++ b/members/src/machine.rs
@@ -37,6 +37,8 @@
     pub(crate) rumours: BTreeMap<MemberId, Rumour>,
     pub(crate) carried: BTreeMap<Topic, Vec<u8>>,
     pub(crate) health: u32,
+    /// The last datagram of anybody.
+    pub(crate) any_heard: Ms,
     pub(crate) round_trip: Ms,
     pub(crate) next_period: Ms,
     pub(crate) next_gossip: Ms,
@@ -68,6 +70,7 @@
             rumours: BTreeMap::new(),
             carried: BTreeMap::new(),
             health: 0,
+            any_heard: Ms::LONG_AGO,
             round_trip: terms.period * 0.05,
             next_period: now,
             next_gossip: now,
@@ -108,6 +111,7 @@
     pub fn message(&mut self, now: Ms, from: Sender, message: Message, out: &mut dyn Wishes) {
         self.notice_lateness(now, out);
         self.figures.received += 1;
+        self.any_heard = now;
         if self.phase == Phase::Gone {
             return;
         }
--- a/members/src/probe.rs
+++ b/members/src/probe.rs
@@ -13,6 +13,8 @@
 const VERDICT_AT: f64 = 0.85;
 /// Probes that run at once.
 const MOST_PROBES: usize = 8;
+/// Probes at once after one that failed while many are in trouble.
+const MORE: usize = 2;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -124,7 +126,14 @@
         if let Some(hears_me) = probe.vouched {
             return self.answered_by_others(now, probe.target, hears_me, out);
         }
-        self.worse(if probe.helpers.is_empty() { 1 } else { silent as u32 });
+        let hears = self.any_heard > probe.sent;
+        let many = hears && self.many_in_trouble(now, probe.target);
+        // Guards against doubting oneself for helpers that died along with the target: where
+        // others are heard and
+        // many are in trouble, silence is theirs. Doubt would slow the finding of the other deaths ninefold.
+        if !many {
+            self.worse(if probe.helpers.is_empty() { 1 } else { silent as u32 });
+        }
         let hearing = if self.hears(now, probe.target, 3.0) { Hearing::OnlyIHear } else { Hearing::Nobody };
         self.set_hearing(probe.target, hearing, out);
         let Some(peer) = self.peers.get(&probe.target) else { return };
@@ -132,6 +141,24 @@
             self.figures.suspicions += 1;
             let me = self.terms.me.id;
             self.suspect(now, probe.target, Some(me), out);
+            if many {
+                self.probe_more(now, out);
+            } else if hears {
+                // Guards against burying one that stood still and is heard by nobody: it can't contradict.
+                self.probe(now, probe.target, out);
+            }
+        }
+    }
+
+    /// Guards against deaths of many at once that are found one a period: more of the round are probed.
+    fn probe_more(&mut self, now: Ms, out: &mut dyn Wishes) {
+        for _ in 0..MORE {
+            while let Some(id) = self.round.pop() {
+                if self.peers.get(&id).is_some_and(|peer| peer.known.state == State::Alive) {
+                    self.probe(now, id, out);
+                    break;
+                }
+            }
         }
     }
 
@@ -153,11 +180,14 @@
         self.set_hearing(from.id, Hearing::Both, out);
     }
 
-    pub(crate) fn vouched(&mut self, _now: Ms, number: u32, hears_me: bool, _out: &mut dyn Wishes) {
-        match self.probes.get_mut(&number) {
-            Some(probe) => probe.vouched = Some(probe.vouched.unwrap_or(false) || hears_me),
-            None => self.figures.strays += 1,
-        }
+    pub(crate) fn vouched(&mut self, now: Ms, number: u32, hears_me: bool, out: &mut dyn Wishes) {
+        let Some(probe) = self.probes.get_mut(&number) else {
+            self.figures.strays += 1;
+            return;
+        };
+        probe.vouched = Some(probe.vouched.unwrap_or(false) || hears_me);
+        let (target, life) = (probe.target, probe.life);
+        self.speak_for(now, target, life, out);
     }
 
     pub(crate) fn nacked(&mut self, from: MemberId, number: u32) {
@@ -169,10 +199,10 @@
         }
     }
 
-    pub(crate) fn dial_answered(&mut self, _now: Ms, tag: DialTag, up: bool, _out: &mut dyn Wishes) {
-        let number = u32::try_from(tag.0).ok();
-        if let Some(probe) = number.and_then(|it| self.probes.get_mut(&it)).filter(|_| up) {
-            probe.vouched = Some(probe.vouched.unwrap_or(false));
+    pub(crate) fn dial_answered(&mut self, now: Ms, tag: DialTag, up: bool, out: &mut dyn Wishes) {
+        let number = u32::try_from(tag.0).ok().filter(|it| up && self.probes.contains_key(it));
+        if let Some(number) = number {
+            self.vouched(now, number, false, out);
         }
     }
 }
--- a/members/src/suspect.rs
+++ b/members/src/suspect.rs
@@ -1,9 +1,9 @@
 //! Suspicions: one that others confirm runs out sooner (Lifeguard); one that is contradicted ends.
 
-use crate::ids::MemberId;
+use crate::ids::{Life, MemberId};
 use crate::machine::Members;
 use crate::message::{News, State};
-use crate::peer::Suspicion;
+use crate::peer::{Peer, Suspicion};
 use crate::view::{Why, Wishes};
 use ottersail::time::Ms;
 use std::collections::BTreeSet;
@@ -12,6 +12,8 @@
 const FLOOR: f64 = 2.0;
 /// Names kept of those that suspect one member.
 const MOST_NAMES: usize = 16;
+/// Troubles of others count together within this many periods.
+const LATELY: f64 = 10.0;
 
 impl Members {
     pub(crate) fn shortest_suspicion(&self) -> Ms {
@@ -79,6 +81,26 @@
         }
     }
 
+    /// Guards against burying one that lives and can't contradict, as nobody hears it or it hears nobody: who
+    /// knows from others or by the second way that it lives contradicts for it.
+    pub(crate) fn speak_for(&mut self, now: Ms, id: MemberId, life: Life, out: &mut dyn Wishes) {
+        let Some(mut news) = self.news_of(id, None) else { return };
+        if news.state == State::Suspect && news.life == life {
+            (news.state, news.incarnation) = (State::Alive, news.incarnation.next());
+            self.apply(now, &news, false, out);
+        }
+    }
+
+    /// Whether, besides this one, two or more are suspected or were buried lately.
+    pub(crate) fn many_in_trouble(&self, now: Ms, besides: MemberId) -> bool {
+        let lately = |since: Ms| now - since < self.terms.period * LATELY;
+        let troubled = |(id, peer): &(&MemberId, &Peer)| {
+            let known = &peer.known;
+            **id != besides && matches!(known.state, State::Suspect | State::Dead) && lately(known.since)
+        };
+        self.peers.iter().filter(troubled).nth(1).is_some()
+    }
+
     pub(crate) fn mind_suspicions(&mut self, now: Ms, out: &mut dyn Wishes) {
         let ends = |id: &MemberId| self.peers.get(id)?.suspicion.as_ref().map(|it| it.ends);
         let over = |id: &MemberId| ends(id).is_some_and(|ends| ends <= now);
--- a/members/tests/network.rs
+++ b/members/tests/network.rs
@@ -61,6 +61,18 @@
     }
 }
 
+/// Doubt of oneself for helpers that died along made this 47 s at the median.
+#[test]
+fn seven_in_ten_of_60_killed_at_once_are_known_to_all_within_10_seconds() {
+    let mut net = settled(60, 100);
+    (18..60).for_each(|at| net.crash(at));
+    net.run(10_000.0);
+    for of in 0..18 {
+        assert!((18..60).all(|about| net.state(of, about) == Some(State::Dead)));
+        assert!((0..18).all(|about| about == of || net.state(of, about) == Some(State::Alive)));
+    }
+}
+
 #[test]
 fn one_that_leaves_is_left_and_not_dead() {
     let mut net = settled(10, 11);
