--- a/daemon/src/fleet/council.rs
+++ b/daemon/src/fleet/council.rs
@@ -7,11 +7,14 @@
 mod figures;
 mod keeper;
 mod keys;
+#[cfg(test)]
+mod leave_tests;
 mod lines;
 mod orders;
 mod post;
 mod releases;
 mod seat;
+mod settle;
 mod share;
 #[cfg(test)]
 mod share_tests;
@@ -32,13 +35,11 @@
 use seat::Seat;
 use share::Share;
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use wants::{Input, Wants};
 
 /// How often needs and the roster are looked at, as a part of the lease.
 const LOOKS: f64 = 0.05;
-/// Inputs that follow from one at most. Guards viewers against machines that go on and on: it never was 100.
-const MOST_STEPS: usize = 10_000;
 
 /// What is to be done outside, in this order.
 #[derive(Debug, Default)]
@@ -64,7 +65,8 @@
     /// Once the founding's figures are known.
     held: Option<Held>,
     share: Share,
-    asked: BTreeMap<u64, keys::Ask>,
+    /// With when it was asked.
+    asked: BTreeMap<u64, (keys::Ask, Ms)>,
     number: u64,
     look_at: Ms,
     arrivals: Cell<u32>,
@@ -208,43 +210,18 @@
         self.settle(now, wants, out);
     }
 
-    /// Goes through all that follows.
-    fn settle(&mut self, now: Ms, mut wants: Wants, out: &mut Outs) {
-        let mut queue: VecDeque<Input> = VecDeque::new();
-        for _ in 0..MOST_STEPS {
-            self.sort(wants, &mut queue, out);
-            wants = Wants::default();
-            let Some(input) = queue.pop_front() else { break };
-            self.step(now, input, &mut wants);
-        }
-        if let Some(it) = self.seat.turned() {
-            lines::sound(it);
-            if let (true, Some(held)) = (it, &mut self.held) {
-                held.renewals.recovered(now);
-            }
+    /// This manager ends: the module goes by the kept slot alone, and the rest is given back by
+    /// [`Council::shrunk`], as with any smaller part.
+    pub fn leave(&mut self, now: Ms, out: &mut Outs) {
+        let mut wants = Wants::default();
+        if let Some(held) = &mut self.held {
+            held.holder.leave(now, &mut wants);
         }
-        let holder = self.held.as_ref().map(|it| &it.holder);
-        out.part = self.share.look(now, holder, out.shrunk).or(out.part.take());
+        self.settle(now, wants, out);
     }
 
-    /// Own messages come back in; the rest goes out.
-    fn sort(&mut self, wants: Wants, queue: &mut VecDeque<Input>, out: &mut Outs) {
-        let mut posts = wants.posts;
-        wants.notes.into_iter().for_each(|it| self.figures.count(it));
-        wants.told.iter().for_each(lines::note);
-        for stand in wants.stands {
-            let post = |to: &MemberId| (*to, Post::Stand(self.me.1, stand.clone()));
-            posts.extend(self.terms.councillors.iter().map(post));
-        }
-        for (to, post) in posts {
-            if to == self.me.0 {
-                queue.push_back(Input::Heard(to, post));
-            } else if let Some(bytes) = post.bytes() {
-                out.tells.push(Out { to, topic: post.topic(), bytes });
-            }
-        }
-        out.keeps.extend(wants.keeps);
-        out.shrunk |= wants.shrunk;
-        queue.extend(wants.inputs);
+    /// No register has a slot in this member's name, as far as is known here.
+    pub fn gave_all_back(&self) -> bool {
+        self.held.as_ref().is_none_or(|it| it.holder.gave_all_back())
     }
 }
--- a/daemon/src/fleet/council/releases.rs
+++ b/daemon/src/fleet/council/releases.rs
@@ -193,7 +193,7 @@
         wants: &mut Wants,
     ) {
         let conducts = self.seat.follower().preferred() == Some(self.me.0) && self.seat.sound().is_some();
-        let asked = self.asked.values().any(|it| *it == Ask::Order(ORDER));
+        let asked = self.asked.values().any(|it| it.0 == Ask::Order(ORDER));
         let (name, zone) = &self.home;
         let (Some(it), Some(name)) = (&mut self.releases, Name::new(name)) else { return };
         let me = Seen { life: self.me.1, name, zone: Name::new(zone), state: Presence::Alive };
