Releases between processes: councillor m-0 reads the orders, a struck one leaves the fleet

Cause: the test killed the reader of the orders' file, counted accidental starts as out by permits, and left a struck one in the fleet's size. Change: the tests.

--- a/daemon/tests/releases/faults.rs
+++ b/daemon/tests/releases/faults.rs
@@ -55,6 +55,8 @@
     assert!(field.until(|it| it.says("the release waits for it")), "{}", field.told());
     field.watch(Duration::from_secs(3));
     assert_eq!(field.went, [lost], "{}", field.told());
+    // It belongs to the fleet no more; else it would count as out for ever.
+    field.fleet = 6;
     let strike = format!("strike = m-{lost}\n");
     field.order("two", "one", "go", &strike);
     assert!(field.until(|it| it.have("two") == 6), "{}", field.told());
--- a/daemon/tests/releases/field.rs
+++ b/daemon/tests/releases/field.rs
@@ -15,8 +15,10 @@
 pub struct Field {
     pub all: Cluster,
     pub most_out: usize,
+    /// How many belong to it, as orders tell.
+    pub fleet: usize,
     serial: u64,
-    /// Started, and not yet seen to answer that it is ready: out.
+    /// Gone out by a permit, started again, and not yet seen to answer that it is ready: out.
     coming: BTreeSet<usize>,
     /// Killed by the test: not started again by whoever supervises.
     pub lost: BTreeSet<usize>,
@@ -29,7 +31,7 @@
     pub fn of(count: usize, most_out: usize) -> Field {
         let edit = |ix: usize, text: String| {
             let store = if ix < 3 { "store = council\n" } else { "" };
-            let orders = if ix == 3 { "orders = orders\n" } else { "" };
+            let orders = if ix == 0 { "orders = orders\n" } else { "" };
             text.replace("number = 0\nmanagers = 1\n", &format!("number = {ix}\nmanagers = {count}\n"))
                 + &format!(
                     "[council]\ncouncillors = m-0, m-1, m-2\nslots = 32\nlease-ms = 2000\n{store}\
@@ -37,11 +39,12 @@
                 )
         };
         let mut all = Cluster::edited(count, 300, |ix| ("east".into(), format!("m-{ix}")), edit);
-        std::fs::write(all.nodes[3].path("orders"), "").unwrap();
+        std::fs::write(all.nodes[0].path("orders"), "").unwrap();
         all.nodes.iter_mut().for_each(Node::start);
         let field = Field {
             all,
             most_out,
+            fleet: count,
             serial: 0,
             coming: BTreeSet::new(),
             lost: BTreeSet::new(),
@@ -54,18 +57,18 @@
         field
     }
 
-    /// Writes the next order into the file of m-3, and tells it.
+    /// Writes the next order into the file of m-0, a councillor, which goes among the last, and tells it.
     pub fn order(&mut self, version: &str, before: &str, state: &str, more: &str) {
         self.serial += 1;
-        let (fleet, most) = (self.all.nodes.len(), self.most_out);
+        let (fleet, most) = (self.fleet, self.most_out);
         let text = format!(
             "[release spring]\nserial = {}\nwho = all\nversion = {version}\nbefore = {before}\n\
              steps = one, 50%, all\nsettle-ms = 600\nuse-ms = 5000\nfleet = {fleet}\nmost-out = {most}\n\
              halt-by = order\nstate = {state}\n{more}",
             self.serial
         );
-        std::fs::write(self.all.nodes[3].path("orders"), text).unwrap();
-        self.all.nodes[3].child.as_mut().unwrap().signal(Signal::HUP);
+        std::fs::write(self.all.nodes[0].path("orders"), text).unwrap();
+        self.all.nodes[0].child.as_mut().unwrap().signal(Signal::HUP);
     }
 
     /// Starts again who went out by a permit, with the version that it was told; judges who is out.
@@ -79,6 +82,7 @@
                 let version = std::fs::read_to_string(node.path("next")).unwrap();
                 self.went.push(ix);
                 self.start(ix, version.trim());
+                self.coming.insert(ix);
             } else if self.coming.contains(&ix) && is_ready(&self.all.nodes[ix]) {
                 self.coming.remove(&ix);
             }
@@ -104,7 +108,6 @@
         std::fs::write(&file, lines.collect::<String>()).unwrap();
         node.start();
         self.lost.remove(&ix);
-        self.coming.insert(ix);
     }
 
     /// Killed outright, and left so.
--- a/daemon/tests/releases/orders.rs
+++ b/daemon/tests/releases/orders.rs
@@ -50,13 +50,13 @@
     let mut field = Field::of(5, 1);
     field.order("two", "one", "halt", "");
     assert!(field.until(|it| it.says("the order of the file stands")), "{}", field.told());
-    let file = field.all.nodes[3].path("orders");
+    let file = field.all.nodes[0].path("orders");
     let text = std::fs::read_to_string(&file).unwrap();
     for (becomes, told) in
         [("state = go", "is agreed with other state"), ("state = sideways", "were not taken over")]
     {
         std::fs::write(&file, text.replace("state = halt", becomes)).unwrap();
-        field.all.nodes[3].child.as_mut().unwrap().signal(rustix::process::Signal::HUP);
+        field.all.nodes[0].child.as_mut().unwrap().signal(rustix::process::Signal::HUP);
         assert!(field.until(|it| it.says(told)), "{told}{}", field.told());
     }
     field.watch(Duration::from_secs(2));
