releases: a value that one councillor alone holds no longer blocks the book; simulated fleet

Random histories of a simulated fleet did not end: a half-accepted book of an older order was taken up by each round and refused by the others for ever. Now a permit that nobody can use any more is not judged as new, and the conductor, told by accepted() what its own acceptor holds, proposes on top of that.

--- a/releases/src/allows.rs
+++ b/releases/src/allows.rs
@@ -40,11 +40,14 @@
     ) -> Result<(), Refusal> {
         let held = from.map_or(&[][..], |it| &it.permits);
         for permit in held.iter().filter(|it| !to.permits.contains(it)) {
-            self.is_back(now, order.map(|it| it.1), permit)?;
+            self.may_strike(now, order.map(|it| it.1), permit)?;
         }
         // What is chosen already was judged by a majority: one that missed it must not stand in its way.
         let known = |it: &&Permit| held.contains(it) || self.book.1.permits.contains(it);
-        let new: Vec<&Permit> = to.permits.iter().filter(|it| !known(it)).collect();
+        // Nor is one judged that nobody can use any more. Symptom: a value of an older order that a few hold is
+        // refused by all others, and nothing else can be chosen.
+        let dead = |it: &&Permit| self.is_back(now, order.map(|it| it.1), it);
+        let new: Vec<&Permit> = to.permits.iter().filter(|it| !known(it) && !dead(it)).collect();
         if new.is_empty() {
             return Ok(());
         }
@@ -119,24 +122,37 @@
     }
 
     /// Whether that permit may be struck off the book.
-    pub(crate) fn is_back(&self, now: Ms, order: Option<&Order>, permit: &Permit) -> Result<(), Refusal> {
-        let order = order.ok_or(Refusal::NoOrder)?;
+    pub(crate) fn may_strike(&self, now: Ms, order: Option<&Order>, permit: &Permit) -> Result<(), Refusal> {
+        if order.is_none() {
+            return Err(Refusal::NoOrder);
+        }
+        if self.is_back(now, order, permit) || !self.guards.life() {
+            return Ok(());
+        }
+        Err(Refusal::NotBack { member: permit.member })
+    }
+
+    /// Whether nobody goes out on that permit any more, nor is out on it.
+    fn is_back(&self, now: Ms, order: Option<&Order>, permit: &Permit) -> bool {
+        let Some(order) = order else { return false };
         let member = permit.member;
-        let seen = self.sights.roster.get(&member);
+        let (seen, name) = (self.sights.roster.get(&member), self.names.get(&member));
         let settle = Ms(f64::from(order.settle_ms));
-        // Symptom: the life before the permitted one, gone but not yet stale here, is taken for the one after it.
         let known = self.known.get(permit);
-        let since = |it: &Sight| known.is_some_and(|known| it.heard > *known);
+        // Symptom: the life before the permitted one, gone but not yet stale here, is taken for the one after it.
+        let after = |it: &Sight| {
+            known.is_some_and(|known| it.heard > *known)
+                || name.is_some_and(|it| it.before == Some(permit.life))
+        };
         let returned = seen.is_some_and(|it| it.life != permit.life)
-            && self.sights.whole(now, member, settle).is_some_and(since);
+            && self.sights.whole(now, member, settle).is_some_and(after);
         let never = self.sights.told(member, permit.life).is_some_and(|it| it.never >= permit.asked);
         // Symptom: struck while unused, and used after that: one more out than counted.
-        let past = |since: &Ms| now - *since > Ms(f64::from(order.use_ms) * (1.0 + 2.0 * DRIFT));
-        let struck = self.is_struck(order, member) && known.is_some_and(past);
-        if returned || never || struck || !self.guards.life() {
-            return Ok(());
-        }
-        Err(Refusal::NotBack { member })
+        let past = |since: Ms| now - since > Ms(f64::from(order.use_ms) * (1.0 + 2.0 * DRIFT));
+        let lives = seen.is_some_and(|it| it.life == permit.life);
+        let gone = !lives && name.map_or(Some(self.born), |it| it.gone).is_some_and(past);
+        let struck = self.is_struck(order, member) && (gone || known.copied().is_some_and(past));
+        returned || never || struck
     }
 
     /// By name, or by id as the notes tell it: the name of one that died before this councillor started is not
@@ -144,6 +160,6 @@
     pub(crate) fn is_struck(&self, order: &Order, member: MemberId) -> bool {
         let id = member.to_string();
         let name = self.names.get(&member);
-        order.struck.iter().any(|it| it.as_str() == id || name.is_some_and(|name| name == it))
+        order.struck.iter().any(|it| it.as_str() == id || name.is_some_and(|name| name.name == *it))
     }
 }
--- a/releases/src/conductor.rs
+++ b/releases/src/conductor.rs
@@ -21,6 +21,17 @@
 /// Names remembered of members that may be gone.
 const MOST_NAMES: usize = 10_000;
 
+/// What is remembered of a member.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub name: Name,
+    pub life: Life,
+    /// The life seen before that one.
+    pub before: Option<Life>,
+    /// Since when the roster has it no more.
+    pub gone: Option<Ms>,
+}
+
 #[derive(Clone, Debug)]
 pub struct Conductor {
     pub(crate) me: MemberId,
@@ -28,7 +39,8 @@
     pub(crate) period: Ms,
     pub(crate) guards: Guards,
     pub(crate) sights: Sights,
-    pub(crate) names: BTreeMap<MemberId, Name>,
+    /// Of members that live or have lived.
+    pub(crate) names: BTreeMap<MemberId, Known>,
     /// Chosen in the registers, with their revisions.
     pub(crate) order: Option<(u64, Order)>,
     pub(crate) book: (u64, Book),
@@ -40,8 +52,14 @@
     /// Came back with another version than their permit's: not sent out again under this order.
     pub(crate) wrong: BTreeSet<MemberId>,
     pub(crate) watch: Watch,
+    /// What the acceptor here holds, chosen or not.
+    accepted: (u64, Book),
+    /// The last proposal came to nothing: the next one stands on what the acceptor here holds.
+    atop: bool,
+    pub(crate) born: Ms,
     asked: Option<(Ms, Book)>,
     look_at: Ms,
+    shut_until: Ms,
     pub(crate) waited: BTreeSet<Permit>,
     refused: Option<Refusal>,
 }
@@ -67,8 +85,12 @@
             step: (0, None),
             wrong: BTreeSet::new(),
             watch: Watch::default(),
+            accepted: (0, Book::default()),
+            atop: false,
+            born: now,
             asked: None,
             look_at: now,
+            shut_until: now,
             waited: BTreeSet::new(),
             refused: None,
         }
@@ -84,7 +106,16 @@
         if self.names.len() + living.len() > MOST_NAMES {
             self.names.clear();
         }
-        self.names.extend(living.iter().map(|it| (*it.0, it.1.name.clone())));
+        for (_, it) in self.names.iter_mut().filter(|it| !living.contains_key(it.0)) {
+            it.gone = it.gone.or(Some(now));
+        }
+        for (id, seen) in living {
+            let before = match self.names.get(id) {
+                Some(it) if it.life == seen.life => it.before,
+                other => other.map(|it| it.life),
+            };
+            self.names.insert(*id, Known { name: seen.name.clone(), life: seen.life, before, gone: None });
+        }
         self.soon(now);
     }
 
@@ -118,7 +149,8 @@
                 self.wrong.insert(permit.member);
             }
         }
-        self.known.retain(|permit, _| book.permits.contains(permit));
+        let held = &self.accepted.1.permits;
+        self.known.retain(|permit, _| book.permits.contains(permit) || held.contains(permit));
         self.waited.retain(|permit| book.permits.contains(permit));
         for permit in &book.permits {
             self.known.entry(permit.clone()).or_insert(now);
@@ -127,6 +159,14 @@
         self.soon(now);
     }
 
+    /// What the acceptor here holds from now on, or at the start: it need not be chosen.
+    pub fn accepted(&mut self, now: Ms, revision: u64, book: &Book) {
+        for permit in &book.permits {
+            self.known.entry(permit.clone()).or_insert(now);
+        }
+        self.accepted = (revision, book.clone());
+    }
+
     /// Whether this one is the lowest-numbered living councillor. Two that think so do no harm.
     pub fn conducts(&mut self, now: Ms, yes: bool) {
         if self.conducts != yes {
@@ -141,7 +181,7 @@
         match outcome {
             Outcome::Done { revision } => self.booked(now, revision, &book),
             Outcome::Other { revision, book } => self.booked(now, revision, &book),
-            Outcome::Unknown => self.look_at = now + self.period * LOOK_EVERY,
+            Outcome::Unknown => self.fails(now),
         }
     }
 
@@ -153,16 +193,17 @@
 
     pub fn bell_at(&self) -> Ms {
         let answer = self.asked.as_ref().map(|it| it.0 + self.period * PATIENCE);
-        let look = if self.conducts { self.look_at } else { Ms(f64::INFINITY) };
+        let look = if self.conducts { self.look_at.max(self.shut_until) } else { Ms(f64::INFINITY) };
         answer.unwrap_or(look)
     }
 
     pub fn bell(&mut self, now: Ms, out: &mut dyn Wishes) {
         if self.asked.as_ref().is_some_and(|it| now >= it.0 + self.period * PATIENCE) {
             self.asked = None;
+            self.fails(now);
             out.note(Note::Unanswered);
         }
-        if self.conducts && self.asked.is_none() && now >= self.look_at {
+        if self.conducts && self.asked.is_none() && now >= self.look_at.max(self.shut_until) {
             self.look_at = now + self.period * LOOK_EVERY;
             if let Some((revision, order)) = self.order.clone() {
                 self.look(now, revision, &order, out);
@@ -170,6 +211,24 @@
         }
     }
 
+    fn fails(&mut self, now: Ms) {
+        self.shut_until = now + self.period * LOOK_EVERY;
+        self.atop = !self.atop;
+    }
+
+    /// The book to change, at which revision. Symptom without the second one: a value that this acceptor alone
+    /// holds, of an order that is halted, is taken up by each round and refused by all others for ever. What was
+    /// not chosen of it is left out; if it was chosen, its other acceptors keep that from passing.
+    fn base(&self) -> (u64, Book) {
+        let (revision, held) = &self.accepted;
+        if !self.atop || *revision <= self.book.0 {
+            return self.book.clone();
+        }
+        let chosen = |it: &&Permit| self.book.1.permits.contains(it);
+        let permits = held.permits.iter().filter(chosen).cloned().collect();
+        (*revision, Book { permits, ended: false, ..held.clone() })
+    }
+
     fn look(&mut self, now: Ms, revision: u64, order: &Order, out: &mut dyn Wishes) {
         self.tell_waits(now, order, out);
         if let (Some(why), true) = (self.watch.verdict.clone(), order.state != State::Halt) {
@@ -178,21 +237,20 @@
             }
             out.halt(revision, &Order { state: State::Halt, ..order.clone() });
         }
-        let (before, mut book) = self.book.clone();
-        let back = |it: &Permit| self.is_back(now, Some(order), it).is_ok();
+        let (before, mut book) = self.base();
+        let back = |it: &Permit| self.may_strike(now, Some(order), it).is_ok();
         let returns: Vec<Permit> = book.permits.iter().filter(|it| back(it)).cloned().collect();
         book.permits.retain(|it| !returns.contains(it));
         for permit in &returns {
             self.tell_return(order.serial, permit, out);
         }
-        let same = book.order == revision;
-        let changed = !returns.is_empty();
+        let ended = book.ended && book.order == revision;
+        let changed = !returns.is_empty() || before != self.book.0;
         (book.order, book.serial) = (revision, order.serial);
         let given = self.give(now, order, &mut book, out);
-        let ended = self.is_through(now, order, &book, same && self.book.1.ended);
-        let ends = ended != (same && self.book.1.ended);
-        book.ended = ended;
-        if ended && ends {
+        book.ended = self.is_through(now, order, &book, ended);
+        let ends = ended != book.ended;
+        if book.ended && ends {
             out.note(Note::Ended { serial: order.serial });
         }
         if changed || given || ends {
--- a/releases/src/tells.rs
+++ b/releases/src/tells.rs
@@ -27,7 +27,7 @@
         for (permit, since) in self.known.iter().filter(|it| now - *it.1 > told) {
             if self.waited.insert(permit.clone()) {
                 let (member, for_long) = (permit.member, now - *since);
-                let name = self.names.get(&member).cloned().unwrap_or_default();
+                let name = self.names.get(&member).map(|it| it.name.clone()).unwrap_or_default();
                 out.note(Note::Waits { member, name, for_long });
             }
         }
--- a/releases/src/tests.rs
+++ b/releases/src/tests.rs
@@ -1,1 +1,6 @@
 //! Codecs and rules one by one; histories of whole fleets in true time.
+
+mod council;
+mod histories;
+mod judge;
+mod world;
--- /dev/null
+++ b/releases/src/tests/judge.rs
@@ -0,0 +1,122 @@
+//! Judges a fleet in true time, knowing what is so.
+
+use super::council::{Ballot, Value};
+use super::world::{zone, PERIOD};
+use crate::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is so, whoever knows it.
+pub struct Truth<'a> {
+    pub now: Ms,
+    /// Takes viewings at this moment.
+    pub serves: &'a [bool],
+    pub councillors: usize,
+    pub cut: &'a BTreeSet<(usize, usize)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// More out by order than most-out, in the whole or in a zone.
+    Bound,
+    /// The same with those gone by accident for longer than it takes to see.
+    Accidents,
+    /// Gone out after a halt, past the time to use a permit.
+    Halt,
+    /// Two councillors out by order.
+    Councillors,
+}
+
+pub struct Judge {
+    pub bounds: Bounds,
+    pub use_ms: u32,
+    /// Gone out by order and not whole again.
+    pub out: BTreeSet<usize>,
+    pub most_seen: usize,
+    pub went: usize,
+    /// Since when each serves not, and since when it is not heard by which councillor.
+    since: BTreeMap<(usize, Option<usize>), Ms>,
+    accepted: BTreeMap<Ballot, BTreeSet<usize>>,
+    halted: Option<(Serial, Ms)>,
+    pub halts: usize,
+    pub broken: Option<(Ms, Broken)>,
+}
+
+impl Judge {
+    pub fn new(bounds: Bounds, use_ms: u32) -> Judge {
+        let (out, since, accepted) = Default::default();
+        let (most_seen, went, halts) = (0, 0, 0);
+        Judge { bounds, use_ms, out, most_seen, went, since, accepted, halted: None, halts, broken: None }
+    }
+
+    pub fn back(&mut self, node: usize) {
+        self.out.remove(&node);
+    }
+
+    /// That councillor has accepted an order: chosen once a majority has, and from then on.
+    pub fn accepted(&mut self, now: Ms, node: usize, ballot: Ballot, value: &Value, councillors: usize) {
+        let by = self.accepted.entry(ballot).or_default();
+        by.insert(node);
+        let Some(order) = Order::read(&value.1).filter(|_| by.len() > councillors / 2) else { return };
+        match self.halted {
+            Some((serial, _)) if order.serial > serial => self.halted = None,
+            _ => {}
+        }
+        if order.state == State::Halt && self.halted.is_none() {
+            self.halted = Some((order.serial, now));
+            self.halts += 1;
+        }
+    }
+
+    /// To be asked whenever anything changes about who serves or who is cut.
+    pub fn look(&mut self, truth: &Truth) {
+        for (node, serves) in truth.serves.iter().enumerate() {
+            self.note((node, None), !serves, truth.now);
+            for one in 0..truth.councillors {
+                self.note((node, Some(one)), truth.cut.contains(&(node, one)), truth.now);
+            }
+        }
+    }
+
+    fn note(&mut self, what: (usize, Option<usize>), ill: bool, now: Ms) {
+        if ill {
+            self.since.entry(what).or_insert(now);
+        } else {
+            self.since.remove(&what);
+        }
+    }
+
+    pub fn goes(&mut self, node: usize, truth: &Truth) {
+        self.look(truth);
+        let now = truth.now;
+        let use_for = Ms(f64::from(self.use_ms) * 1.02);
+        self.out.insert(node);
+        self.went += 1;
+        self.most_seen = self.most_seen.max(self.out.len());
+        let seen_after = PERIOD * 7.0 * 1.02 + use_for + Ms(100.0);
+        let long = |it: &usize, by: Option<usize>| {
+            self.since.get(&(*it, by)).is_some_and(|since| now - *since > seen_after)
+        };
+        let unheard = |it: &usize| {
+            let by = (0..truth.councillors).filter(|one| one != it && long(it, Some(*one))).count();
+            by > truth.councillors / 2
+        };
+        let gone = (0..truth.serves.len()).filter(|it| long(it, None) || unheard(it));
+        let gone: BTreeSet<usize> = gone.chain(self.out.iter().copied()).collect();
+        let past = self.halted.is_some_and(|it| now - it.1 > use_for + Ms(2.0));
+        let broken = match () {
+            _ if self.over(&self.out) => Broken::Bound,
+            _ if self.over(&gone) => Broken::Accidents,
+            _ if past => Broken::Halt,
+            _ if self.out.iter().filter(|it| **it < truth.councillors).count() > 1 => Broken::Councillors,
+            _ => return,
+        };
+        self.broken.get_or_insert((now, broken));
+    }
+
+    fn over(&self, out: &BTreeSet<usize>) -> bool {
+        let zones = &self.bounds.zones;
+        let inside = |of: &Name| out.iter().filter(|it| zone(**it) == *of).count();
+        out.len() > usize::from(self.bounds.most_out)
+            || zones.iter().any(|(of, it)| inside(of) > usize::from(it.1))
+    }
+}
--- a/releases/src/view.rs
+++ b/releases/src/view.rs
@@ -65,7 +65,7 @@
                 Some(_) if !going => Wait::Going,
                 _ => Wait::Gone,
             };
-            let name = self.names.get(&it.member).cloned().unwrap_or_default();
+            let name = self.names.get(&it.member).map(|it| it.name.clone()).unwrap_or_default();
             let since = self.known.get(it).copied().unwrap_or(now);
             Out { member: it.member, name, version: it.version.clone(), since, waits }
         });
