--- a/releases/src/conductor.rs
+++ b/releases/src/conductor.rs
@@ -178,6 +178,9 @@
     /// How the last own proposal ended.
     pub fn answered(&mut self, now: Ms, outcome: Outcome) {
         let Some((_, book)) = self.asked.take() else { return };
+        if outcome != Outcome::Unknown {
+            self.atop = false;
+        }
         match outcome {
             Outcome::Done { revision } => self.booked(now, revision, &book),
             Outcome::Other { revision, book } => self.booked(now, revision, &book),
