--- a/releases/src/holder.rs
+++ b/releases/src/holder.rs
@@ -12,6 +12,9 @@
 /// Periods between two stands while nothing changes.
 const STAND_EVERY: f64 = 2.0;
 
+/// The same while its permit is not given back.
+const RETURNED_EVERY: f64 = 0.5;
+
 /// A permit that can be used at this moment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Going {
@@ -144,7 +147,9 @@
         if self.order.is_none() || self.is_through() || now < self.tell_at {
             return;
         }
-        self.tell_at = now + self.period * STAND_EVERY;
+        // Until the permit of the life before this one is given back, others wait for it.
+        let returned = self.book.1.of(self.me.0).is_some_and(|it| it.life != self.me.1);
+        self.tell_at = now + self.period * if returned { RETURNED_EVERY } else { STAND_EVERY };
         // Never the same moment as what will never be used.
         let at = self.stamp(now).max(Stamp(self.never.0 + 1));
         out.stand(&Stand {
