--- a/releases/src/tests.rs
+++ b/releases/src/tests.rs
@@ -4,4 +4,5 @@
 mod fleets;
 mod histories;
 mod judge;
+mod tables;
 mod world;
--- /dev/null
+++ b/releases/src/tests/tables.rs
@@ -0,0 +1,218 @@
+//! Shapes and rules one by one.
+
+use super::histories::order;
+use super::world::{id, name, zone, PERIOD};
+use crate::*;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+fn go() -> Order {
+    order(3, 9, 2, "v2", State::Go)
+}
+
+fn permit(node: usize, asked: u64) -> Permit {
+    Permit { member: id(node), life: Life(1), asked: Stamp(asked), version: name("v2") }
+}
+
+fn book(permits: &[Permit]) -> Book {
+    Book { order: 7, serial: Serial(3), permits: permits.to_vec(), ended: false }
+}
+
+#[test]
+fn an_order_and_a_book_come_back_as_they_were() {
+    let (order, book) = (go(), book(&[permit(1, 5), permit(2, u64::MAX)]));
+    assert_eq!(Order::read(&order.bytes()), Some(order.clone()));
+    assert_eq!(Book::read(&book.bytes()), Some(book.clone()));
+    // Bytes after it are a later version's.
+    assert_eq!(Order::read(&[order.bytes(), vec![1, 2]].concat()), Some(order.clone()));
+    assert_eq!(Book::read(&[book.bytes(), vec![1, 2]].concat()), Some(book.clone()));
+    for cut in 0..order.bytes().len() {
+        assert_eq!(Order::read(&order.bytes()[..cut]), None, "cut at {cut}");
+    }
+    for cut in 0..book.bytes().len() {
+        assert_eq!(Book::read(&book.bytes()[..cut]), None, "cut at {cut}");
+    }
+    let another = |bytes: Vec<u8>| [vec![2], bytes[1..].to_vec()].concat();
+    assert_eq!((Order::read(&another(order.bytes())), Book::read(&another(book.bytes()))), (None, None));
+}
+
+#[test]
+fn a_book_holds_each_member_once_and_fits_a_register() {
+    let long = Name::new(&"v".repeat(32)).unwrap();
+    let full = |count: usize| {
+        let permit = |it: usize| Permit {
+            member: MemberId(u64::MAX - 99 + it as u64),
+            life: Life(u64::MAX),
+            asked: Stamp(u64::MAX),
+            version: long.clone(),
+        };
+        Book { permits: (0..count).map(permit).collect(), ..book(&[]) }
+    };
+    assert_eq!(Book::read(&book(&[permit(1, 5), permit(1, 6)]).bytes()), None);
+    assert_eq!(Book::read(&book(&[permit(2, 5), permit(1, 6)]).bytes()), None);
+    assert!(Book::read(&full(MOST_PERMITS).bytes()).is_some());
+    assert_eq!(Book::read(&full(MOST_PERMITS + 1).bytes()), None);
+    // Plain lengths of versions fit what a register takes.
+    let plain = (0..MOST_PERMITS).map(|it| Permit { version: name("2026.12.02"), ..permit(it, 1 << 40) });
+    assert!(book(&plain.collect::<Vec<_>>()).bytes().len() <= 600);
+}
+
+#[test_case(|it| it.steps.clear(), "steps = one"; "no steps")]
+#[test_case(|it| it.steps = vec![Step::Count(1); 9], "leave some out"; "steps")]
+#[test_case(|it| it.steps = vec![Step::Part(0)], "from 1 to 1000"; "part of a step")]
+#[test_case(|it| it.who = Who::Part(1_001), "from 1 to 1000"; "part of whom")]
+#[test_case(|it| it.struck = vec![name("m"); 9], "next serial"; "struck")]
+#[test_case(|it| it.bounds.most_out = 0, "state = halt"; "nobody out")]
+#[test_case(|it| it.bounds.most_out = 9, "leave some"; "all out")]
+#[test_case(|it| it.bounds.zones.values_mut().for_each(|it| it.1 = 4), "no more than it has"; "zone")]
+#[test_case(|it| it.bounds.fleet = 10, "have to be equal"; "sum")]
+#[test_case(|it| it.bounds.zones = (0..13).map(|it| (name(&it.to_string()), (1, 1))).collect(), "need a bound"; "zones")]
+#[test_case(|it| it.use_ms = 499, "500 to 60000"; "use")]
+#[test_case(|it| it.settle_ms = 99, "100 to 3600000"; "settle")]
+#[test_case(|it| it.who = Who::Named(vec![Name::new(&"n".repeat(32)).unwrap(); 20]), "shorter names"; "long")]
+fn an_order_that_cannot_stand_says_why(spoil: fn(&mut Order), says: &str) {
+    let mut order = go();
+    assert_eq!(order.check(), Ok(()));
+    spoil(&mut order);
+    let fault = order.check().unwrap_err().to_string();
+    assert!(fault.contains(says), "{fault}");
+    assert_eq!(Order::read(&order.bytes()), None);
+}
+
+#[test_case(|it| it.serial = Serial(4), true; "a greater serial")]
+#[test_case(|it| it.state = State::Halt, true; "the same halted")]
+#[test_case(|_| {}, true; "a reading written back")]
+#[test_case(|it| it.state = State::Back, false; "the same serial taken back")]
+#[test_case(|it| (it.state, it.version) = (State::Halt, name("v9")), false; "a halt that changes more")]
+#[test_case(|it| (it.serial, it.state) = (Serial(2), State::Halt), false; "an older halt")]
+fn an_order_follows(change: fn(&mut Order), follows_it: bool) {
+    let mut to = go();
+    change(&mut to);
+    assert_eq!(follows(Some(&go()), &to, Guards::all()).is_ok(), follows_it);
+    assert!(follows(None, &to, Guards::all()).is_ok());
+}
+
+#[test]
+fn a_halt_by_evidence_is_not_undone_by_the_same_file() {
+    let halted = Order { state: State::Halt, ..go() };
+    assert_eq!(follows(Some(&halted), &go(), Guards::all()), Err(Refusal::Serial { given: 3, stands: 3 }));
+}
+
+/// A councillor that has seen these of nine whole for 3 s, at 13 s; councillors are 0, 1 and 2.
+fn councillor(whole: &[usize]) -> Conductor {
+    let all = [0, 1, 2].map(id);
+    let mut conductor = Conductor::born(Ms(0.0), id(0), &all, PERIOD);
+    let seen = |it: usize| {
+        let (zone, name) = (Some(zone(it)), name(&format!("m{it}")));
+        (id(it), Seen { life: Life(1), name, zone, state: Presence::Alive })
+    };
+    conductor.roster(Ms(0.0), &whole.iter().map(|it| seen(*it)).collect::<BTreeMap<_, _>>());
+    for at in [10, 11, 12, 13] {
+        for node in whole {
+            conductor.stand(
+                Ms(f64::from(at) * 1e3),
+                id(*node),
+                Life(1),
+                &stand(u64::from(at as u16) * 1_000),
+            );
+        }
+    }
+    conductor.ordered(Ms(9e3), 7, &go());
+    conductor
+}
+
+fn stand(at: u64) -> Stand {
+    let (going, never, counts) = (None, Stamp(0), Counts::default());
+    Stand { at: Stamp(at), version: name("v1"), whole: true, going, never, order: 7, counts }
+}
+
+const ALL: &[usize] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+
+#[test_case(ALL, &[3], true; "one of nine")]
+#[test_case(ALL, &[3, 4], true; "two of nine in two zones")]
+#[test_case(ALL, &[3, 4, 5], false; "three of nine where two may")]
+#[test_case(ALL, &[3, 6], false; "two of one zone where one may")]
+#[test_case(&[0, 1, 2, 3, 4, 5, 6, 7], &[3], true; "one beside one that is dead")]
+#[test_case(&[0, 1, 2, 3, 4, 5, 6], &[3], false; "one beside two that are dead")]
+#[test_case(&[0, 1, 2, 3, 4, 5, 7, 8], &[3], false; "one beside one of its zone")]
+#[test_case(ALL, &[0], true; "a councillor")]
+#[test_case(ALL, &[0, 1], false; "two councillors")]
+#[test_case(&[0, 2, 3, 4, 5, 6, 7, 8], &[0], false; "a councillor beside a dead one")]
+#[test_case(&[], &[3], false; "known to nobody")]
+fn a_permit_is_let_pass(whole: &[usize], out: &[usize], passes: bool) {
+    let permits: Vec<Permit> = out.iter().map(|it| permit(*it, 12_000)).collect();
+    let allowed = councillor(whole).allows(Ms(13e3), Some((7, &go())), None, &book(&permits));
+    assert_eq!(allowed.is_ok(), passes, "{allowed:?}");
+}
+
+#[test_case(6, State::Go, "v2"; "under another revision")]
+#[test_case(7, State::Halt, "v2"; "under a halt")]
+#[test_case(7, State::Back, "v2"; "with a version that is not led to")]
+fn a_permit_is_kept_out(named: u64, state: State, version: &str) {
+    let (order, permit) = (Order { state, ..go() }, Permit { version: name(version), ..permit(3, 12_000) });
+    let to = Book { order: named, ..book(&[permit]) };
+    assert!(councillor(ALL).allows(Ms(13e3), Some((7, &order)), None, &to).is_err());
+}
+
+#[test]
+fn stands_count_for_seven_periods_and_from_when_they_were_told() {
+    let allowed = |conductor: &Conductor, at: f64| {
+        conductor.allows(Ms(at), Some((7, &go())), None, &book(&[permit(3, 12_000)])).is_ok()
+    };
+    let mut conductor = councillor(ALL);
+    assert!(allowed(&conductor, 20e3) && !allowed(&conductor, 20_001.0));
+    // Seven seconds under way: told at 14 s, it counts until 21 s.
+    ALL.iter().for_each(|it| conductor.stand(Ms(21e3), id(*it), Life(1), &stand(14_000)));
+    assert!(!allowed(&conductor, 21.5e3));
+    ALL.iter().for_each(|it| conductor.stand(Ms(21.6e3), id(*it), Life(1), &stand(21_600)));
+    assert!(!allowed(&conductor, 21.7e3), "a gap: it settles anew");
+}
+
+#[test]
+fn a_permit_is_given_back_by_never_and_kept_by_silence() {
+    let (from, order) = (book(&[permit(3, 12_000)]), go());
+    let gives = |conductor: &Conductor| {
+        conductor.allows(Ms(13e3), Some((7, &order)), Some(&from), &book(&[])).is_ok()
+    };
+    let mut conductor = councillor(ALL);
+    assert!(!gives(&conductor));
+    conductor.stand(Ms(13e3), id(3), Life(1), &Stand { never: Stamp(11_999), ..stand(13_000) });
+    assert!(!gives(&conductor));
+    conductor.stand(Ms(13e3), id(3), Life(1), &Stand { never: Stamp(12_000), ..stand(13_000) });
+    assert!(gives(&conductor));
+}
+
+#[test_case(&["m3"], 4_081.0, true; "by name, once it can't be used any more")]
+#[test_case(&["0000000000000004"], 4_081.0, true; "by id")]
+#[test_case(&["m3"], 4_079.0, false; "while it may still be used")]
+#[test_case(&["m4"], 4_081.0, false; "another")]
+fn a_struck_permit_is_given_back(struck: &[&str], after: f64, gives: bool) {
+    let order = Order { struck: struck.iter().map(|it| name(it)).collect(), ..go() };
+    let (mut conductor, from) = (councillor(ALL), book(&[permit(3, 12_000)]));
+    conductor.booked(Ms(13e3), 4, &from);
+    let now = Ms(13e3 + after);
+    assert_eq!(conductor.allows(now, Some((7, &order)), Some(&from), &book(&[])).is_ok(), gives);
+}
+
+/// A holder of the ninth minute with a permit asked for at 1,000 ms, usable until 5,000 ms.
+#[test_case(4_998.0, State::Go, 1, true; "in time")]
+#[test_case(5_001.0, State::Go, 1, false; "too late")]
+#[test_case(2_000.0, State::Halt, 1, false; "halted")]
+#[test_case(2_000.0, State::Go, 2, false; "of another life")]
+fn a_holder_goes(at: f64, state: State, life: u64, goes: bool) {
+    let mut holder = Holder::born(Ms(0.0), (id(3), Life(life)), name("v1"), PERIOD);
+    holder.whole(Ms(0.0), true);
+    holder.ordered(Ms(0.0), 7, &go());
+    holder.booked(Ms(1.1e3), 1, &book(&[permit(3, 1_000)]));
+    let going = Going { stamp: Stamp(1_000), version: name("v2") };
+    assert_eq!(holder.wants_out(Ms(1.2e3)).is_some(), life == 1);
+    holder.ordered(Ms(1.3e3), 8, &Order { state, serial: Serial(4), ..go() });
+    // Whatever was asked for under another order is never used.
+    assert_eq!(holder.wants_out(Ms(1.4e3)), None);
+    let mut holder = Holder::born(Ms(0.0), (id(3), Life(life)), name("v1"), PERIOD);
+    holder.ordered(Ms(0.0), 7, &Order { state, ..go() });
+    holder.booked(Ms(1.1e3), 1, &book(&[permit(3, 1_000)]));
+    assert_eq!(holder.still_in_time(Ms(at), &going), goes);
+    // Once said no, it is no.
+    assert!(goes || holder.wants_out(Ms(1.2e3)).is_none());
+}
