releases: a step that was passed is not settled anew; evidence outlives the halt it ordered

A councillor that took over conducting waited the settling time of each step again; a release that ends before all have gone would have been told through and not through in turn; the reason of a halt was forgotten with the halt's own revision.

--- a/releases/src/lib.rs
+++ b/releases/src/lib.rs
@@ -7,6 +7,7 @@
 mod conductor;
 mod guards;
 mod holder;
+mod look;
 mod notes;
 mod order;
 mod refusal;
--- /dev/null
+++ b/releases/src/look.rs
@@ -0,0 +1,77 @@
+//! What the one that conducts proposes: permits given back, and permits in turn.
+
+use crate::book::{Book, Permit};
+use crate::conductor::Conductor;
+use crate::notes::Note;
+use crate::order::{Order, State};
+use crate::wishes::Wishes;
+use ottersail::time::Ms;
+
+impl Conductor {
+    /// The book to change, at which revision. Symptom without the second one: a value that this acceptor alone
+    /// holds, of an order that is halted, is taken up by each round and refused by all others for ever. What was
+    /// not chosen of it is left out; if it was chosen, its other acceptors keep that from passing.
+    fn base(&self) -> (u64, Book) {
+        let (revision, held) = &self.accepted;
+        if !self.atop || *revision <= self.book.0 {
+            return self.book.clone();
+        }
+        let chosen = |it: &&Permit| self.book.1.permits.contains(it);
+        let permits = held.permits.iter().filter(chosen).cloned().collect();
+        (*revision, Book { permits, ended: false, ..held.clone() })
+    }
+
+    pub(crate) fn look(&mut self, now: Ms, revision: u64, order: &Order, out: &mut dyn Wishes) {
+        self.tell_waits(now, order, out);
+        if let (Some(why), true) = (self.watch.verdict.clone(), order.state != State::Halt) {
+            if self.watch.tells() {
+                out.note(Note::Evidence { serial: order.serial, why });
+            }
+            out.halt(revision, &Order { state: State::Halt, ..order.clone() });
+        }
+        let (before, mut book) = self.base();
+        let back = |it: &Permit| self.may_strike(now, Some(order), it).is_ok();
+        let returns: Vec<Permit> = book.permits.iter().filter(|it| back(it)).cloned().collect();
+        book.permits.retain(|it| !returns.contains(it));
+        for permit in &returns {
+            self.tell_return(order.serial, permit, out);
+        }
+        let ended = book.ended && book.order == revision;
+        let changed = !returns.is_empty() || before != self.book.0;
+        (book.order, book.serial) = (revision, order.serial);
+        let given = self.give(now, order, &mut book, out);
+        book.ended = self.is_through(now, order, &book, ended);
+        let ends = ended != book.ended;
+        if book.ended && ends {
+            out.note(Note::Ended { serial: order.serial });
+        }
+        if changed || given || ends {
+            out.propose(before, &book);
+            self.asked = Some((now, book));
+        }
+    }
+
+    /// As many as may go, in turn.
+    fn give(&mut self, now: Ms, order: &Order, book: &mut Book, out: &mut dyn Wishes) -> bool {
+        let limit = self.limit(now, order, book, out);
+        let Some(version) = order.leads_to().filter(|_| self.watch.verdict.is_none()) else { return false };
+        let had = book.permits.len();
+        while book.permits.len() < crate::book::MOST_PERMITS {
+            let Some((member, life, asked)) = self.next(now, order, book, limit) else { break };
+            let permit = Permit { member, life, asked, version: version.clone() };
+            let mut more = book.clone();
+            let place = more.permits.partition_point(|it| it.member < member);
+            more.permits.insert(place, permit.clone());
+            if let Err(refusal) = self.has_room(now, order, &more, &[&permit]) {
+                if self.refused.as_ref() != Some(&refusal) {
+                    out.note(Note::Refused(refusal.clone()));
+                    self.refused = Some(refusal);
+                }
+                break;
+            }
+            *book = more;
+            out.note(Note::Permits { serial: order.serial, member, version: version.clone() });
+        }
+        book.permits.len() > had
+    }
+}
--- a/releases/src/tests/world.rs
+++ b/releases/src/tests/world.rs
@@ -2,7 +2,7 @@
 //! standing still, and the supervisor that starts the version ordered.
 
 use super::council::*;
-use super::judge::{Judge, Truth};
+use super::judge::Judge;
 use crate::*;
 use ottersail_members::chance::Chance;
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,31 +36,9 @@
     pub half: f64,
 }
 
-#[derive(Default)]
-struct Out {
-    stands: Vec<Stand>,
-    asks: Vec<(Key, Change)>,
-    notes: Vec<Note>,
-}
-
-impl Wishes for Out {
-    fn propose(&mut self, if_revision: u64, book: &Book) {
-        self.asks.push((Key::Book, Change::If(if_revision, book.bytes())));
-    }
-    fn halt(&mut self, if_revision: u64, order: &Order) {
-        self.asks.push((Key::Order, Change::If(if_revision, order.bytes())));
-    }
-    fn stand(&mut self, stand: &Stand) {
-        self.stands.push(stand.clone());
-    }
-    fn note(&mut self, note: Note) {
-        self.notes.push(note);
-    }
-}
-
 pub struct Node {
-    rate: f64,
-    offset: f64,
+    pub rate: f64,
+    pub offset: f64,
     pub life: Life,
     pub version: Name,
     pub up: bool,
@@ -69,12 +47,12 @@
     pub known: BTreeMap<Key, Value>,
     pub holder: Holder,
     pub conductor: Option<Conductor>,
-    council: Option<Councillor>,
+    pub council: Option<Councillor>,
     /// Of each member, for councillors: its life and when it was heard of last.
-    heard: Vec<(Life, Ms)>,
-    bell: Ms,
-    leaving: bool,
-    started: Ms,
+    pub heard: Vec<(Life, Ms)>,
+    pub bell: Ms,
+    pub leaving: bool,
+    pub started: Ms,
 }
 
 pub struct World {
@@ -161,12 +139,12 @@
         world
     }
 
-    fn put(&mut self, at: Ms, from: usize, to: usize, body: Body) {
+    pub fn put(&mut self, at: Ms, from: usize, to: usize, body: Body) {
         self.count += 1;
         self.queue.insert((at, self.count), (from, to, body));
     }
 
-    fn after(&mut self, least: f64, most: f64, node: usize, body: Body) {
+    pub fn after(&mut self, least: f64, most: f64, node: usize, body: Body) {
         let at = self.now + Ms(least + self.chance.part() * (most - least));
         self.put(at, node, node, body);
     }
@@ -188,80 +166,6 @@
         Ms(it.offset + self.now.0 * it.rate)
     }
 
-    /// Gives a member an input, and carries out what it wishes.
-    pub fn input(&mut self, node: usize, give: impl FnOnce(&mut Node, Ms, &mut dyn Wishes)) {
-        let (now, mut out) = (self.local(node), Out::default());
-        let it = &mut self.nodes[node];
-        give(it, now, &mut out);
-        let bell =
-            it.conductor.as_ref().map_or(Ms(f64::INFINITY), |it| it.bell_at()).min(it.holder.bell_at());
-        let bell = Ms((bell.0 - it.offset) / it.rate).max(self.now) + Ms(1e-3);
-        let (life, wants) = (it.life, it.holder.wants_out(now));
-        if bell < it.bell {
-            it.bell = bell;
-            self.put(bell, node, node, Body::Bell);
-        }
-        let at = self.now;
-        self.notes.extend(out.notes.into_iter().map(|it| (at, it)));
-        for stand in out.stands {
-            let body = Body::Stand(life, stand);
-            (0..self.councillors).for_each(|to| self.send(node, to, &body));
-        }
-        for (key, change) in out.asks {
-            let says = self.nodes[node].council.as_mut().map(|it| it.ask(now, key, change));
-            self.say(node, says.unwrap_or_default());
-        }
-        if let Some(going) = wants.filter(|_| !self.nodes[node].leaving) {
-            self.nodes[node].leaving = true;
-            self.after(5.0, 50.0, node, Body::Stopped(life, going));
-            self.mishap(node);
-        }
-    }
-
-    /// At each point between permit and return.
-    fn mishap(&mut self, node: usize) {
-        if self.chance.part() < self.ill.killed {
-            self.kill(node, true);
-        } else if self.chance.part() < self.ill.stopped {
-            self.nodes[node].paused_until = self.now + Ms(self.chance.part() * 12e3);
-        }
-    }
-
-    fn say(&mut self, node: usize, says: Vec<Say>) {
-        let accepts = says.iter().any(|it| matches!(it, Say::To(_, Round::Accept(..))));
-        let half = accepts && self.chance.part() < self.ill.half;
-        let only = self.chance.below(self.councillors);
-        if half {
-            self.nodes[node].paused_until = self.now + Ms(10e3);
-        }
-        for it in says {
-            match it {
-                Say::To(to, Round::Accept(..)) if half && to != only => {}
-                Say::To(to, round) => self.send(node, to, &Body::Round(round)),
-                Say::Ended(key, value) => self.ended(node, key, value),
-            }
-        }
-    }
-
-    fn ended(&mut self, node: usize, key: Key, value: Option<(Value, bool)>) {
-        if let Some((value, _)) = value.clone().filter(|it| it.0 .0 > 0) {
-            let news = Body::News(BTreeMap::from([(key, value)]));
-            (0..self.nodes.len()).for_each(|to| self.send(node, to, &news));
-        }
-        let outcome = match value {
-            Some(((revision, _), true)) => Outcome::Done { revision },
-            Some(((revision, body), false)) => {
-                Outcome::Other { revision, book: Book::read(&body).unwrap_or_default() }
-            }
-            None => Outcome::Unknown,
-        };
-        if key == Key::Book {
-            self.input(node, |it, now, _| {
-                it.conductor.as_mut().into_iter().for_each(|it| it.answered(now, outcome.clone()));
-            });
-        }
-    }
-
     /// All that happens up to then.
     pub fn run(&mut self, until: Ms) {
         while let Some(((at, _), (from, to, body))) = self.queue.pop_first() {
@@ -337,128 +241,4 @@
         }
         self.say(to, says);
     }
-
-    fn learn(&mut self, node: usize, key: Key, value: Value) {
-        if self.nodes[node].known.get(&key).is_some_and(|it| it.0 >= value.0) {
-            return;
-        }
-        self.nodes[node].known.insert(key, value.clone());
-        self.input(node, |it, now, _| it.tell(now, key, &value));
-    }
-
-    /// Once more with a fresh clock; then it goes, or takes again.
-    fn stopped(&mut self, node: usize, going: &Going) {
-        self.nodes[node].leaving = false;
-        let now = self.local(node);
-        if !self.nodes[node].holder.still_in_time(now, going) {
-            return self.input(node, |_, _, _| {});
-        }
-        self.input(node, |it, now, _| it.holder.whole(now, false));
-        self.nodes[node].ready = false;
-        self.look(Some(node));
-        self.kill(node, false);
-        self.after(300.0, 1.5e3, node, Body::Start(going.version.clone()));
-        self.mishap(node);
-    }
-
-    /// The judge looks; one may be going out by order.
-    pub fn look(&mut self, goes: Option<usize>) {
-        let serves = |it: &Node| it.up && it.ready && it.paused_until <= self.now;
-        let serves: Vec<bool> = self.nodes.iter().map(serves).collect();
-        let truth = Truth { now: self.now, serves: &serves, councillors: self.councillors, cut: &self.cut };
-        self.judge.look(&truth);
-        goes.into_iter().for_each(|it| self.judge.goes(it, &truth));
-    }
-
-    /// By accident: its supervisor starts the same version again.
-    pub fn kill(&mut self, node: usize, accident: bool) {
-        self.look(None);
-        let (version, up) = (self.nodes[node].version.clone(), self.nodes[node].up);
-        let it = &mut self.nodes[node];
-        (it.up, it.ready, it.leaving) = (false, false, false);
-        if accident && up {
-            self.after(300.0, 9e3, node, Body::Start(version));
-        }
-    }
-
-    pub fn begin(&mut self, node: usize, version: Name) {
-        if self.nodes[node].up {
-            return;
-        }
-        let (now, guards, count) = (self.local(node), self.guards, self.councillors);
-        let all: Vec<MemberId> = (0..count).map(id).collect();
-        let it = &mut self.nodes[node];
-        (it.life, it.up, it.started, it.bell) = (Life(it.life.0 + 1), true, self.now, Ms(f64::INFINITY));
-        (it.version, it.known) = (version.clone(), BTreeMap::new());
-        it.holder = Holder::guarded(now, (id(node), it.life), version.clone(), PERIOD, guards);
-        if let Some(council) = &mut it.council {
-            council.restart();
-            let mut conductor = Conductor::guarded(now, id(node), &all, PERIOD, guards);
-            if let Some((revision, book)) =
-                council.registers.get(&Key::Book).and_then(|it| it.accepted.clone()).map(|it| it.1)
-            {
-                conductor.accepted(now, revision, &Book::read(&book).unwrap_or_default());
-            }
-            it.conductor = Some(conductor);
-        }
-        let life = it.life;
-        if self.bad.as_ref() != Some(&version) {
-            self.after(self.start.0, self.start.1, node, Body::Ready(life));
-        }
-        self.mishap(node);
-    }
-
-    /// Twice a second: news to some other, and what a councillor's roster says.
-    fn tick(&mut self, node: usize) {
-        self.put(self.now + Ms(500.0), node, node, Body::Tick);
-        if !self.nodes[node].up {
-            return;
-        }
-        let (other, news) = (self.chance.below(self.nodes.len()), Body::News(self.nodes[node].known.clone()));
-        self.send(node, other, &news);
-        if node >= self.councillors {
-            return;
-        }
-        let mut living = BTreeMap::new();
-        for other in 0..self.nodes.len() {
-            let (it, via) = (&self.nodes[other], self.chance.below(self.nodes.len()));
-            let way = |a: usize, b: usize| a == b || !self.cut.contains(&(a, b));
-            let hears = way(other, node) || way(other, via) && way(via, node);
-            let (life, last) = self.nodes[node].heard[other];
-            // News of a new life take a while; that it is suspected by error happens.
-            let known = it.life == life || self.now - it.started > Ms(2e3 * self.chance.part());
-            let last = if it.up && it.paused_until <= self.now && hears && known { self.now } else { last };
-            let life = if last == self.now { it.life } else { life };
-            let error = self.chance.part() < self.ill.loss * 0.01;
-            self.nodes[node].heard[other] = (life, last);
-            let state = if self.now - last < Ms(3e3) && !error { Presence::Alive } else { Presence::Suspect };
-            if self.now - last < Ms(6e3) {
-                let seen = Seen { life, name: name(&format!("m{other}")), zone: Some(zone(other)), state };
-                living.insert(id(other), seen);
-            }
-        }
-        let first = living.keys().next() == Some(&id(node));
-        self.input(node, |it, now, _| {
-            let Some(conductor) = &mut it.conductor else { return };
-            conductor.roster(now, &living);
-            conductor.conducts(now, first);
-        });
-    }
-}
-
-impl Node {
-    fn tell(&mut self, now: Ms, key: Key, (revision, body): &Value) {
-        match key {
-            Key::Order => {
-                let order = Order::read(body).unwrap();
-                self.holder.ordered(now, *revision, &order);
-                self.conductor.as_mut().into_iter().for_each(|it| it.ordered(now, *revision, &order));
-            }
-            Key::Book => {
-                let book = Book::read(body).unwrap();
-                self.holder.booked(now, *revision, &book);
-                self.conductor.as_mut().into_iter().for_each(|it| it.booked(now, *revision, &book));
-            }
-        }
-    }
 }
--- a/releases/src/turn.rs
+++ b/releases/src/turn.rs
@@ -94,7 +94,9 @@
             }
             let since = since.unwrap_or(now);
             self.step.1 = Some(since);
-            if now - since < settle(order) || level + 1 >= order.steps.len() {
+            // With more through than it has, the next one had begun before this councillor conducted.
+            let stood = now - since >= settle(order) || through > count;
+            if !stood || level + 1 >= order.steps.len() {
                 return count;
             }
             self.step = (level + 1, None);
@@ -102,6 +104,15 @@
         }
     }
 
+    /// How many are to be through in the end.
+    pub(crate) fn goal(&self, order: &Order) -> usize {
+        let all = self.meant(order);
+        match (order.state, order.steps.last()) {
+            (State::Go, Some(last)) => last.of(all),
+            _ => all,
+        }
+    }
+
     /// Whose turn it is: the zone with the fewest out or through first, then by a hash; councillors last. On the
     /// way back the other way round.
     pub(crate) fn next(
@@ -155,17 +166,14 @@
         if order.state == State::Halt {
             return true;
         }
+        let (all, goal) = (self.meant(order), self.goal(order));
+        // Those past the last step have still to go, and not under this order.
         if ended {
             let has_to = |it: (MemberId, &Seen, &Sight)| {
                 self.is_meant(order, it.0, it.1) && order.wants(&it.2.stand.version)
             };
-            return !self.sights.all_whole(now, settle(order)).any(has_to);
+            return goal < all || !self.sights.all_whole(now, settle(order)).any(has_to);
         }
-        let all = self.meant(order);
-        let goal = match (order.state, order.steps.last()) {
-            (State::Go, Some(last)) => last.of(all),
-            _ => all,
-        };
         self.through(now, order, book) >= goal
     }
 }
--- a/releases/src/view.rs
+++ b/releases/src/view.rs
@@ -74,20 +74,23 @@
             self.sights.roster.iter().filter(|it| {
                 book.of(*it.0).is_none() && self.sights.whole(now, *it.0, settle(order)).is_none()
             });
+        let ended = book.ended && book.order == *revision;
+        // Once it has ended nobody says anything any more.
+        let through = if ended { self.goal(order) } else { self.through(now, order, book) };
         Some(View {
             serial: order.serial,
             name: order.name.clone(),
             state: order.state,
             step: self.step.0 + 1,
             steps: order.steps.len(),
-            through: self.through(now, order, book),
+            through,
             meant: self.meant(order),
             whole,
             fleet: usize::from(order.bounds.fleet),
             out: out.collect(),
             not_whole: unseen.map(|it| it.1.name.clone()).collect(),
             other_version: self.wrong.iter().copied().collect(),
-            ended: book.ended && book.order == *revision,
+            ended,
             halted_by: self.watch.verdict.clone(),
         })
     }
