--- a/releases/src/conductor.rs
+++ b/releases/src/conductor.rs
@@ -43,10 +43,11 @@
     pub(crate) names: BTreeMap<MemberId, Known>,
     /// Chosen in the registers, with their revisions.
     pub(crate) order: Option<(u64, Order)>,
-    ordered_at: Ms,
     pub(crate) book: (u64, Book),
     /// Since when each permit of the book is known here to be chosen.
     pub(crate) known: BTreeMap<Permit, Ms>,
+    /// Under which order, for those that were seen to be added.
+    given: BTreeMap<Permit, u64>,
     pub(crate) conducts: bool,
     /// The step that the release is in, and since when as many are through.
     pub(crate) step: (usize, Option<Ms>),
@@ -80,9 +81,9 @@
             sights: Sights::new(period, guards),
             names: BTreeMap::new(),
             order: None,
-            ordered_at: now,
             book: (0, Book::default()),
             known: BTreeMap::new(),
+            given: BTreeMap::new(),
             conducts: false,
             step: (0, None),
             wrong: BTreeSet::new(),
@@ -135,7 +136,7 @@
         if self.order.as_ref().is_none_or(|it| it.1.serial != order.serial) {
             self.watch = Watch::default();
         }
-        (self.order, self.ordered_at) = (Some((revision, order.clone())), now);
+        self.order = Some((revision, order.clone()));
         (self.step, self.refused) = ((0, None), None);
         self.wrong.clear();
         self.soon(now);
@@ -150,16 +151,21 @@
             let back = self.sights.roster.get(&permit.member).filter(|it| it.life != permit.life);
             let stand = back.and_then(|it| self.sights.told(permit.member, it.life));
             // One given under an order before this one says nothing of it.
-            let now_given = self.known.get(permit).is_some_and(|it| *it > self.ordered_at);
-            if now_given && stand.is_some_and(|it| it.version != permit.version) {
+            let given = self.given.get(permit) == self.order.as_ref().map(|it| &it.0);
+            if given && stand.is_some_and(|it| it.version != permit.version) {
                 self.wrong.insert(permit.member);
             }
         }
         let held = &self.accepted.1.permits;
         self.known.retain(|permit, _| book.permits.contains(permit) || held.contains(permit));
         self.waited.retain(|permit| book.permits.contains(permit));
+        self.given.retain(|permit, _| book.permits.contains(permit));
+        let next = self.book.0 > 0 && (revision == self.book.0 + 1 || book.order == self.book.1.order);
         for permit in &book.permits {
             self.known.entry(permit.clone()).or_insert(now);
+            if next && !self.book.1.permits.contains(permit) {
+                self.given.insert(permit.clone(), book.order);
+            }
         }
         self.book = (revision, book.clone());
         self.soon(now);
