releases: tests of what the conductor wishes and tells; zones counted once a look

A verdict, a holder that does not come back and the window for evidence had no tests. Choosing whose turn it is counted each zone for each candidate.

--- /dev/null
+++ b/releases/src/tests/conducting.rs
@@ -0,0 +1,82 @@
+//! What the one that conducts wishes and tells.
+
+use super::tables::{book, councillor, go, permit, stand, ALL};
+use super::world::{id, name};
+use crate::*;
+use test_case::test_case;
+
+#[derive(Default)]
+struct Out {
+    books: Vec<(u64, Book)>,
+    halts: Vec<(u64, Order)>,
+    notes: Vec<Note>,
+}
+
+impl Wishes for Out {
+    fn propose(&mut self, if_revision: u64, book: &Book) {
+        self.books.push((if_revision, book.clone()));
+    }
+    fn halt(&mut self, if_revision: u64, order: &Order) {
+        self.halts.push((if_revision, order.clone()));
+    }
+    fn stand(&mut self, _: &Stand) {}
+    fn note(&mut self, note: Note) {
+        self.notes.push(note);
+    }
+}
+
+fn bell(conductor: &mut Conductor, at: f64) -> Out {
+    let mut out = Out::default();
+    conductor.conducts(Ms(at), true);
+    conductor.bell(Ms(at + 100.0), &mut out);
+    out
+}
+
+#[test]
+fn the_first_step_sends_one_that_is_no_councillor() {
+    let out = bell(&mut councillor(ALL), 13e3);
+    let (revision, book) = &out.books[0];
+    assert_eq!((*revision, book.order, book.serial, book.permits.len()), (0, 7, Serial(3), 1));
+    assert!(book.permits[0].member > id(2) && book.permits[0].version == name("v2"));
+}
+
+#[test]
+fn a_verdict_stops_permits_at_once_and_wishes_a_halt_of_the_same_serial() {
+    let mut conductor = councillor(ALL);
+    conductor.verdict(Ms(13e3), "5 points more blocked");
+    let out = bell(&mut conductor, 13e3);
+    let halted = Order { state: State::Halt, ..go() };
+    assert_eq!((out.books.len(), out.halts), (0, vec![(7, halted.clone())]));
+    assert!(matches!(&out.notes[..], [Note::Evidence { why, .. }] if why.contains("5 points")));
+    conductor.ordered(Ms(14e3), 8, &halted);
+    assert!(bell(&mut conductor, 14e3).halts.is_empty());
+    assert_eq!(conductor.view(Ms(14e3)).unwrap().halted_by.as_deref(), Some("5 points more blocked"));
+    // Lifted by a greater serial.
+    conductor.ordered(Ms(15e3), 9, &Order { serial: Serial(4), ..go() });
+    assert_eq!(conductor.view(Ms(15e3)).unwrap().halted_by, None);
+}
+
+#[test]
+fn a_holder_that_never_comes_back_is_named_once() {
+    let mut conductor = councillor(ALL);
+    conductor.booked(Ms(13e3), 1, &book(&[permit(3, 12_000)]));
+    let waits = |out: Out| out.notes.iter().filter(|it| matches!(it, Note::Waits { .. })).count();
+    assert_eq!(waits(bell(&mut conductor, 49e3)), 0);
+    let out = bell(&mut conductor, 51e3);
+    assert!(out.notes.iter().any(|it| it.to_string().contains("(m3) has its permit for 38100")));
+    assert_eq!((waits(out), waits(bell(&mut conductor, 60e3))), (1, 0));
+}
+
+#[test_case(0, None; "nothing came")]
+#[test_case(7, Some(7); "what came since")]
+fn evidence_gets_what_was_counted_in_a_window(blocked: u64, seen: Option<u64>) {
+    let mut conductor = councillor(ALL);
+    let first = conductor.window(Ms(13e3));
+    assert!(first.is_empty());
+    let counts = Counts { blocked, ..Counts::default() };
+    conductor.stand(Ms(14e3), id(3), Life(1), &Stand { counts, ..stand(14_000) });
+    let window = conductor.window(Ms(14e3));
+    assert_eq!(window.len(), 9);
+    assert_eq!(window.iter().map(|it| it.1.blocked).max().filter(|it| *it > 0), seen);
+    assert!(window.iter().all(|it| !it.0));
+}
--- a/releases/src/turn.rs
+++ b/releases/src/turn.rs
@@ -8,6 +8,7 @@
 use crate::wishes::Wishes;
 use ottersail::time::Ms;
 use ottersail_members::{Life, MemberId};
+use std::collections::BTreeMap;
 
 /// An odd number whose multiples fill all bits (the golden ratio's).
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -127,14 +128,14 @@
         }
         let revision = self.order.as_ref().map_or(0, |it| it.0);
         let whole: Vec<_> = self.sights.all_whole(now, settle(order)).collect();
-        let done = |zone: &Option<Name>| {
-            let inside = |id: MemberId| self.sights.roster.get(&id).is_some_and(|it| it.zone == *zone);
-            let out = book.permits.iter().filter(|it| inside(it.member)).count();
-            let there = |it: &&(MemberId, &Seen, &Sight)| {
-                it.1.zone == *zone && book.of(it.0).is_none() && !order.wants(&it.2.stand.version)
-            };
-            out + whole.iter().filter(there).count()
-        };
+        // Out or through, by zone.
+        let mut done: BTreeMap<&Option<Name>, usize> = BTreeMap::new();
+        let out = book.permits.iter().filter_map(|it| self.sights.roster.get(&it.member));
+        let there =
+            |it: &&(MemberId, &Seen, &Sight)| book.of(it.0).is_none() && !order.wants(&it.2.stand.version);
+        for zone in out.chain(whole.iter().filter(there).map(|it| it.1)).map(|it| &it.zone) {
+            *done.entry(zone).or_default() += 1;
+        }
         let may_go = |it: &&(MemberId, &Seen, &Sight)| {
             let (id, seen, Sight { stand, heard, .. }) = **it;
             let in_time = now - *heard <= Ms(f64::from(order.use_ms)) * 0.5;
@@ -151,7 +152,12 @@
             let hash = mixed(it.0, if forth { order.serial.0 } else { order.serial.0.wrapping_sub(1) });
             let last = self.councillors.contains(&it.0) == forth;
             // Whoever conducts goes last of all: each change of it settles the step anew.
-            (last, (it.0 == self.me) == forth, done(&it.1.zone), if forth { hash } else { u64::MAX - hash })
+            (
+                last,
+                (it.0 == self.me) == forth,
+                done.get(&it.1.zone).copied().unwrap_or(0),
+                if forth { hash } else { u64::MAX - hash },
+            )
         };
         let it = whole.iter().filter(may_go).min_by_key(key)?;
         Some((it.0, it.1.life, it.2.stand.at))
