releases: a zone that is full keeps nobody of another zone waiting

The first refusal ended the look: with one zone at its bound by accident, and its turn, nobody of other zones got a permit.

--- a/releases/src/look.rs
+++ b/releases/src/look.rs
@@ -4,8 +4,10 @@
 use crate::conductor::Conductor;
 use crate::notes::Note;
 use crate::order::{Order, State};
+use crate::refusal::Refusal;
 use crate::wishes::Wishes;
 use ottersail::time::Ms;
+use std::collections::BTreeSet;
 
 impl Conductor {
     /// The book to change, at which revision. Symptom without the second one: a value that this acceptor alone
@@ -56,18 +58,25 @@
         let limit = self.limit(now, order, book, out);
         let Some(version) = order.leads_to().filter(|_| self.watch.verdict.is_none()) else { return false };
         let had = book.permits.len();
+        let mut skip = BTreeSet::new();
         while book.permits.len() < crate::book::MOST_PERMITS {
-            let Some((member, life, asked)) = self.next(now, order, book, limit) else { break };
+            let Some((member, life, asked)) = self.next(now, order, book, limit, &skip) else { break };
             let permit = Permit { member, life, asked, version: version.clone() };
             let mut more = book.clone();
             let place = more.permits.partition_point(|it| it.member < member);
             more.permits.insert(place, permit.clone());
             if let Err(refusal) = self.has_room(now, order, &more, &[&permit]) {
-                if self.refused.as_ref() != Some(&refusal) {
+                let full = matches!(refusal, Refusal::Full { .. });
+                if skip.is_empty() && self.refused.as_ref() != Some(&refusal) {
                     out.note(Note::Refused(refusal.clone()));
                     self.refused = Some(refusal);
                 }
-                break;
+                if full {
+                    break;
+                }
+                // Its zone is full, or another councillor out: those of other zones need not wait for it.
+                skip.insert(member);
+                continue;
             }
             *book = more;
             out.note(Note::Permits { serial: order.serial, member, version: version.clone() });
--- a/releases/src/turn.rs
+++ b/releases/src/turn.rs
@@ -8,7 +8,7 @@
 use crate::wishes::Wishes;
 use ottersail::time::Ms;
 use ottersail_members::{Life, MemberId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An odd number whose multiples fill all bits (the golden ratio's).
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -122,6 +122,7 @@
         order: &Order,
         book: &Book,
         limit: usize,
+        skip: &BTreeSet<MemberId>,
     ) -> Option<(MemberId, Life, Stamp)> {
         if book.permits.len() + self.through(now, order, book) >= limit {
             return None;
@@ -140,6 +141,7 @@
             let (id, seen, Sight { stand, heard, .. }) = **it;
             let in_time = now - *heard <= Ms(f64::from(order.use_ms)) * 0.5;
             book.of(id).is_none()
+                && !skip.contains(&id)
                 && self.is_meant(order, id, seen)
                 && order.wants(&stand.version)
                 && !self.wrong.contains(&id)
