--- a/releases/src/allows.rs
+++ b/releases/src/allows.rs
@@ -147,6 +147,8 @@
         let after = |it: &Sight| {
             known.is_some_and(|known| it.heard > *known)
                 || name.is_some_and(|it| it.before == Some(permit.life))
+                // One after it would have had to be whole for the settling time since, to be permitted.
+                || now - it.heard < settle * 0.5
         };
         let returned = seen.is_some_and(|it| it.life != permit.life)
             && self.sights.whole(now, member, settle).is_some_and(after);
