--- a/daemon/src/fleet/council/releases.rs
+++ b/daemon/src/fleet/council/releases.rs
@@ -193,6 +193,14 @@
         wants: &mut Wants,
     ) {
         let conducts = self.seat.follower().preferred() == Some(self.me.0) && self.seat.sound().is_some();
+        if let (Some(seat), Some(it)) =
+            (self.seat.sound(), self.releases.as_mut().and_then(|it| it.conductor.as_mut()))
+        {
+            let held = seat.acceptor().stored().accepted(BOOK);
+            if let Some((revision, book)) = held.and_then(|it| Some((it.revision, Book::read(&it.body)?))) {
+                it.accepted(now, revision, &book);
+            }
+        }
         let asked = self.asked.values().any(|it| it.0 == Ask::Order(ORDER));
         let (name, zone) = &self.home;
         let (Some(it), Some(name)) = (&mut self.releases, Name::new(name)) else { return };
--- a/releases/src/conductor.rs
+++ b/releases/src/conductor.rs
@@ -6,7 +6,6 @@
 use crate::order::{Name, Order};
 use crate::refusal::Refusal;
 use crate::seen::{Seen, Sights};
-use crate::serials::stopped;
 use crate::stand::Stand;
 use crate::watch::Watch;
 use crate::wishes::{Outcome, Wishes};
@@ -22,6 +21,17 @@
 /// Names remembered of members that may be gone.
 const MOST_NAMES: usize = 10_000;
 
+/// What is remembered of a member.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub name: Name,
+    pub life: Life,
+    /// The life seen before that one.
+    pub before: Option<Life>,
+    /// Since when the roster has it no more.
+    pub gone: Option<Ms>,
+}
+
 #[derive(Clone, Debug)]
 pub struct Conductor {
     pub(crate) me: MemberId,
@@ -29,22 +39,31 @@
     pub(crate) period: Ms,
     pub(crate) guards: Guards,
     pub(crate) sights: Sights,
-    pub(crate) names: BTreeMap<MemberId, Name>,
+    /// Of members that live or have lived.
+    pub(crate) names: BTreeMap<MemberId, Known>,
     /// Chosen in the registers, with their revisions.
     pub(crate) order: Option<(u64, Order)>,
     pub(crate) book: (u64, Book),
     /// Since when each permit of the book is known here to be chosen.
     pub(crate) known: BTreeMap<Permit, Ms>,
+    /// Under which order, for those that were seen to be added.
+    given: BTreeMap<Permit, u64>,
     pub(crate) conducts: bool,
     /// The step that the release is in, and since when as many are through.
     pub(crate) step: (usize, Option<Ms>),
     /// Came back with another version than their permit's: not sent out again under this order.
     pub(crate) wrong: BTreeSet<MemberId>,
     pub(crate) watch: Watch,
-    asked: Option<(Ms, Book)>,
+    /// What the acceptor here holds, chosen or not.
+    pub(crate) accepted: (u64, Book),
+    /// The last proposal came to nothing: the next one stands on what the acceptor here holds.
+    pub(crate) atop: bool,
+    pub(crate) born: Ms,
+    pub(crate) asked: Option<(Ms, Book)>,
     look_at: Ms,
+    shut_until: Ms,
     pub(crate) waited: BTreeSet<Permit>,
-    refused: Option<Refusal>,
+    pub(crate) refused: Option<Refusal>,
 }
 
 impl Conductor {
@@ -64,12 +83,17 @@
             order: None,
             book: (0, Book::default()),
             known: BTreeMap::new(),
+            given: BTreeMap::new(),
             conducts: false,
             step: (0, None),
             wrong: BTreeSet::new(),
             watch: Watch::default(),
+            accepted: (0, Book::default()),
+            atop: false,
+            born: now,
             asked: None,
             look_at: now,
+            shut_until: now,
             waited: BTreeSet::new(),
             refused: None,
         }
@@ -85,7 +109,16 @@
         if self.names.len() + living.len() > MOST_NAMES {
             self.names.clear();
         }
-        self.names.extend(living.iter().map(|it| (*it.0, it.1.name.clone())));
+        for (_, it) in self.names.iter_mut().filter(|it| !living.contains_key(it.0)) {
+            it.gone = it.gone.or(Some(now));
+        }
+        for (id, seen) in living {
+            let before = match self.names.get(id) {
+                Some(it) if it.life == seen.life => it.before,
+                other => other.map(|it| it.life),
+            };
+            self.names.insert(*id, Known { name: seen.name.clone(), life: seen.life, before, gone: None });
+        }
         self.soon(now);
     }
 
@@ -100,10 +133,12 @@
         if self.order.as_ref().is_some_and(|it| it.0 >= revision) {
             return;
         }
+        if self.order.as_ref().is_none_or(|it| it.1.serial != order.serial) {
+            self.watch = Watch::default();
+        }
         self.order = Some((revision, order.clone()));
         (self.step, self.refused) = ((0, None), None);
         self.wrong.clear();
-        self.watch = Watch::default();
         self.soon(now);
     }
 
@@ -115,19 +150,35 @@
         for permit in self.book.1.permits.iter().filter(|it| !book.permits.contains(it)) {
             let back = self.sights.roster.get(&permit.member).filter(|it| it.life != permit.life);
             let stand = back.and_then(|it| self.sights.told(permit.member, it.life));
-            if stand.is_some_and(|it| it.version != permit.version) {
+            // One given under an order before this one says nothing of it.
+            let given = self.given.get(permit) == self.order.as_ref().map(|it| &it.0);
+            if given && stand.is_some_and(|it| it.version != permit.version) {
                 self.wrong.insert(permit.member);
             }
         }
-        self.known.retain(|permit, _| book.permits.contains(permit));
+        let held = &self.accepted.1.permits;
+        self.known.retain(|permit, _| book.permits.contains(permit) || held.contains(permit));
         self.waited.retain(|permit| book.permits.contains(permit));
+        self.given.retain(|permit, _| book.permits.contains(permit));
+        let next = self.book.0 > 0 && (revision == self.book.0 + 1 || book.order == self.book.1.order);
         for permit in &book.permits {
             self.known.entry(permit.clone()).or_insert(now);
+            if next && !self.book.1.permits.contains(permit) {
+                self.given.insert(permit.clone(), book.order);
+            }
         }
         self.book = (revision, book.clone());
         self.soon(now);
     }
 
+    /// What the acceptor here holds from now on, or at the start: it need not be chosen.
+    pub fn accepted(&mut self, now: Ms, revision: u64, book: &Book) {
+        for permit in &book.permits {
+            self.known.entry(permit.clone()).or_insert(now);
+        }
+        self.accepted = (revision, book.clone());
+    }
+
     /// Whether this one is the lowest-numbered living councillor. Two that think so do no harm.
     pub fn conducts(&mut self, now: Ms, yes: bool) {
         if self.conducts != yes {
@@ -139,10 +190,13 @@
     /// How the last own proposal ended.
     pub fn answered(&mut self, now: Ms, outcome: Outcome) {
         let Some((_, book)) = self.asked.take() else { return };
+        if outcome != Outcome::Unknown {
+            self.atop = false;
+        }
         match outcome {
             Outcome::Done { revision } => self.booked(now, revision, &book),
             Outcome::Other { revision, book } => self.booked(now, revision, &book),
-            Outcome::Unknown => self.look_at = now + self.period * LOOK_EVERY,
+            Outcome::Unknown => self.fails(now),
         }
     }
 
@@ -154,16 +208,17 @@
 
     pub fn bell_at(&self) -> Ms {
         let answer = self.asked.as_ref().map(|it| it.0 + self.period * PATIENCE);
-        let look = if self.conducts { self.look_at } else { Ms(f64::INFINITY) };
+        let look = if self.conducts { self.look_at.max(self.shut_until) } else { Ms(f64::INFINITY) };
         answer.unwrap_or(look)
     }
 
     pub fn bell(&mut self, now: Ms, out: &mut dyn Wishes) {
         if self.asked.as_ref().is_some_and(|it| now >= it.0 + self.period * PATIENCE) {
             self.asked = None;
+            self.fails(now);
             out.note(Note::Unanswered);
         }
-        if self.conducts && self.asked.is_none() && now >= self.look_at {
+        if self.conducts && self.asked.is_none() && now >= self.look_at.max(self.shut_until) {
             self.look_at = now + self.period * LOOK_EVERY;
             if let Some((revision, order)) = self.order.clone() {
                 self.look(now, revision, &order, out);
@@ -171,58 +226,8 @@
         }
     }
 
-    fn look(&mut self, now: Ms, revision: u64, order: &Order, out: &mut dyn Wishes) {
-        self.tell_waits(now, order, out);
-        if let (Some(why), Some(halted)) = (self.watch.verdict.clone(), stopped(order)) {
-            if self.watch.tells() {
-                out.note(Note::Evidence { serial: order.serial, why });
-            }
-            out.halt(revision, &halted);
-        }
-        let (before, mut book) = self.book.clone();
-        let back = |it: &Permit| self.is_back(now, Some(order), it).is_ok();
-        let returns: Vec<Permit> = book.permits.iter().filter(|it| back(it)).cloned().collect();
-        book.permits.retain(|it| !returns.contains(it));
-        for permit in &returns {
-            self.tell_return(order.serial, permit, out);
-        }
-        let same = book.order == revision;
-        let changed = !returns.is_empty();
-        (book.order, book.serial) = (revision, order.serial);
-        let given = self.give(now, order, &mut book, out);
-        let ended = self.is_through(now, order, &book, same && self.book.1.ended);
-        let ends = ended != (same && self.book.1.ended);
-        book.ended = ended;
-        if ended && ends {
-            out.note(Note::Ended { serial: order.serial });
-        }
-        if changed || given || ends {
-            out.propose(before, &book);
-            self.asked = Some((now, book));
-        }
-    }
-
-    /// As many as may go, in turn.
-    fn give(&mut self, now: Ms, order: &Order, book: &mut Book, out: &mut dyn Wishes) -> bool {
-        let limit = self.limit(now, order, book, out);
-        let Some(version) = order.leads_to().filter(|_| self.watch.verdict.is_none()) else { return false };
-        let had = book.permits.len();
-        while book.permits.len() < crate::book::MOST_PERMITS {
-            let Some((member, life, asked)) = self.next(now, order, book, limit) else { break };
-            let permit = Permit { member, life, asked, version: version.clone() };
-            let mut more = book.clone();
-            let place = more.permits.partition_point(|it| it.member < member);
-            more.permits.insert(place, permit.clone());
-            if let Err(refusal) = self.has_room(now, order, &more, &[&permit]) {
-                if self.refused.as_ref() != Some(&refusal) {
-                    out.note(Note::Refused(refusal.clone()));
-                    self.refused = Some(refusal);
-                }
-                break;
-            }
-            *book = more;
-            out.note(Note::Permits { serial: order.serial, member, version: version.clone() });
-        }
-        book.permits.len() > had
+    fn fails(&mut self, now: Ms) {
+        self.shut_until = now + self.period * LOOK_EVERY;
+        self.atop = !self.atop;
     }
 }
--- /dev/null
+++ b/releases/src/tests/world.rs
@@ -0,0 +1,244 @@
+//! A fleet in true time: clocks that run apart, messages lost, late, doubled or cut one way, processes killed or
+//! standing still, and the supervisor that starts the version ordered.
+
+use super::council::*;
+use super::judge::Judge;
+use crate::*;
+use ottersail_members::chance::Chance;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const PERIOD: Ms = Ms(1e3);
+
+#[derive(Clone, Debug)]
+pub enum Body {
+    Stand(Life, Stand),
+    Round(Round),
+    News(BTreeMap<Key, Value>),
+    File(Order),
+    Bell,
+    Tick,
+    Ready(Life),
+    Start(Name),
+    /// Nothing more is taken; the clock is looked at again.
+    Stopped(Life, Going),
+}
+
+/// What goes wrong by chance; all 0 when well.
+#[derive(Clone, Copy, Default)]
+pub struct Ill {
+    pub loss: f64,
+    pub slow: f64,
+    pub twice: f64,
+    /// A holder killed, or standing still, at each point between permit and return.
+    pub killed: f64,
+    pub stopped: f64,
+    /// A proposal that one councillor alone hears of, while its proposer stands still for 10 s.
+    pub half: f64,
+}
+
+pub struct Node {
+    pub rate: f64,
+    pub offset: f64,
+    pub life: Life,
+    pub version: Name,
+    pub up: bool,
+    pub ready: bool,
+    pub paused_until: Ms,
+    pub known: BTreeMap<Key, Value>,
+    pub holder: Holder,
+    pub conductor: Option<Conductor>,
+    pub council: Option<Councillor>,
+    /// Of each member, for councillors: its life and when it was heard of last.
+    pub heard: Vec<(Life, Ms)>,
+    pub bell: Ms,
+    pub leaving: bool,
+    pub started: Ms,
+}
+
+pub struct World {
+    pub now: Ms,
+    pub nodes: Vec<Node>,
+    pub councillors: usize,
+    pub chance: Chance,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub ill: Ill,
+    pub guards: Guards,
+    pub judge: Judge,
+    pub notes: Vec<(Ms, Note)>,
+    /// Never gets ready.
+    pub bad: Option<Name>,
+    /// How long a start takes until it is whole, at least and at most.
+    pub start: (f64, f64),
+    queue: BTreeMap<(Ms, u64), (usize, usize, Body)>,
+    count: u64,
+}
+
+pub fn id(node: usize) -> MemberId {
+    MemberId(node as u64 + 1)
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+pub fn zone(node: usize) -> Name {
+    name(["a", "b", "c"][node % 3])
+}
+
+impl World {
+    pub fn new(seed: u64, members: usize, councillors: usize, judge: Judge, guards: Guards) -> World {
+        let mut chance = Chance::new(seed);
+        let all: Vec<MemberId> = (0..councillors).map(id).collect();
+        let node = |it: usize| {
+            let (rate, offset) = (0.99 + 0.02 * chance.part(), chance.part() * 1e6);
+            let (life, version, now) = (Life(it as u64 * 1_000 + 1), name("v1"), Ms(offset));
+            let holder = Holder::guarded(now, (id(it), life), version.clone(), PERIOD, guards);
+            let conducts = it < councillors;
+            let conductor = conducts.then(|| Conductor::guarded(now, id(it), &all, PERIOD, guards));
+            let council = conducts.then(|| Councillor::new(it, councillors));
+            let heard = (0..members).map(|it| (Life(it as u64 * 1_000 + 1), Ms(0.0))).collect();
+            Node {
+                rate,
+                offset,
+                life,
+                version,
+                up: true,
+                ready: true,
+                paused_until: Ms(0.0),
+                known: BTreeMap::new(),
+                holder,
+                conductor,
+                council,
+                heard,
+                bell: Ms(f64::INFINITY),
+                leaving: false,
+                started: Ms(0.0),
+            }
+        };
+        let nodes: Vec<Node> = (0..members).map(node).collect();
+        let mut world = World {
+            now: Ms(0.0),
+            nodes,
+            councillors,
+            chance,
+            cut: BTreeSet::new(),
+            ill: Ill::default(),
+            guards,
+            judge,
+            notes: Vec::new(),
+            bad: None,
+            start: (1e3, 3e3),
+            queue: BTreeMap::new(),
+            count: 0,
+        };
+        for node in 0..members {
+            let first = Ms(world.chance.part() * 500.0);
+            world.put(first, node, node, Body::Tick);
+            world.input(node, |it, now, _| it.holder.whole(now, true));
+        }
+        world
+    }
+
+    pub fn put(&mut self, at: Ms, from: usize, to: usize, body: Body) {
+        self.count += 1;
+        self.queue.insert((at, self.count), (from, to, body));
+    }
+
+    pub fn after(&mut self, least: f64, most: f64, node: usize, body: Body) {
+        let at = self.now + Ms(least + self.chance.part() * (most - least));
+        self.put(at, node, node, body);
+    }
+
+    pub fn send(&mut self, from: usize, to: usize, body: &Body) {
+        let copies = if self.chance.part() < self.ill.twice { 2 } else { 1 };
+        for _ in 0..copies {
+            if from != to && (self.cut.contains(&(from, to)) || self.chance.part() < self.ill.loss) {
+                continue;
+            }
+            let slow = self.chance.part() < self.ill.slow;
+            let delay = self.chance.part() * if slow { 8e3 } else { 10.0 } + 1.0;
+            self.put(self.now + Ms(delay), from, to, body.clone());
+        }
+    }
+
+    pub fn local(&self, node: usize) -> Ms {
+        let it = &self.nodes[node];
+        Ms(it.offset + self.now.0 * it.rate)
+    }
+
+    /// All that happens up to then.
+    pub fn run(&mut self, until: Ms) {
+        while let Some(((at, _), (from, to, body))) = self.queue.pop_first() {
+            if at > until {
+                self.put(at, from, to, body);
+                break;
+            }
+            self.now = at;
+            let paused = self.nodes[to].paused_until;
+            match &body {
+                Body::Start(version) => self.begin(to, version.clone()),
+                _ if paused > at => self.put(paused, from, to, body),
+                Body::Tick => {
+                    self.look(None);
+                    self.tick(to);
+                }
+                _ if self.nodes[to].up => self.take(from, to, body),
+                _ => {}
+            }
+        }
+        self.now = until;
+    }
+
+    fn take(&mut self, from: usize, to: usize, body: Body) {
+        match body {
+            Body::Bell => {
+                self.nodes[to].bell = Ms(f64::INFINITY);
+                self.input(to, |it, now, out| {
+                    it.holder.bell(now, out);
+                    it.conductor.as_mut().into_iter().for_each(|it| it.bell(now, out));
+                });
+            }
+            Body::Stand(life, stand) => self.input(to, |it, now, _| {
+                it.conductor.as_mut().into_iter().for_each(|it| it.stand(now, id(from), life, &stand));
+            }),
+            Body::News(values) => {
+                values.into_iter().for_each(|(key, value)| self.learn(to, key, value));
+            }
+            Body::Ready(life) if self.nodes[to].life == life => {
+                self.nodes[to].ready = true;
+                self.judge.back(to);
+                self.input(to, |it, now, _| it.holder.whole(now, true));
+                self.mishap(to);
+            }
+            Body::Stopped(life, going) if self.nodes[to].life == life => self.stopped(to, &going),
+            Body::File(order) => {
+                let now = self.local(to);
+                let says =
+                    self.nodes[to].council.as_mut().map(|it| it.ask(now, Key::Order, Change::File(order)));
+                self.say(to, says.unwrap_or_default());
+            }
+            Body::Round(round) => self.round(from, to, round),
+            _ => {}
+        }
+    }
+
+    fn round(&mut self, from: usize, to: usize, round: Round) {
+        let (now, guards) = (self.local(to), self.guards);
+        let what = if let Round::Accept(key, ballot, value) = &round {
+            Some((*key, *ballot, value.clone()))
+        } else {
+            None
+        };
+        let it = &mut self.nodes[to];
+        let (Some(council), Some(conductor)) = (&mut it.council, &mut it.conductor) else { return };
+        let says = council.round(now, from, round, conductor, guards);
+        let accepted = matches!(says.first(), Some(Say::To(_, Round::Accepted(_))));
+        if let Some((Key::Book, _, value)) = what.as_ref().filter(|_| accepted) {
+            conductor.accepted(now, value.0, &Book::read(&value.1).unwrap_or_default());
+        }
+        if let Some((Key::Order, ballot, value)) = what.filter(|_| accepted) {
+            self.judge.accepted(self.now, to, ballot, &value, self.councillors);
+        }
+        self.say(to, says);
+    }
+}
--- a/releases/src/turn.rs
+++ b/releases/src/turn.rs
@@ -8,6 +8,7 @@
 use crate::wishes::Wishes;
 use ottersail::time::Ms;
 use ottersail_members::{Life, MemberId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An odd number whose multiples fill all bits (the golden ratio's).
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -94,7 +95,9 @@
             }
             let since = since.unwrap_or(now);
             self.step.1 = Some(since);
-            if now - since < settle(order) || level + 1 >= order.steps.len() {
+            // With more through than it has, the next one had begun before this councillor conducted.
+            let stood = now - since >= settle(order) || through > count;
+            if !stood || level + 1 >= order.steps.len() {
                 return count;
             }
             self.step = (level + 1, None);
@@ -102,6 +105,15 @@
         }
     }
 
+    /// How many are to be through in the end.
+    pub(crate) fn goal(&self, order: &Order) -> usize {
+        let all = self.meant(order);
+        match (order.state, order.steps.last()) {
+            (State::Go, Some(last)) => last.of(all),
+            _ => all,
+        }
+    }
+
     /// Whose turn it is: the zone with the fewest out or through first, then by a hash; councillors last. On the
     /// way back the other way round.
     pub(crate) fn next(
@@ -110,24 +122,26 @@
         order: &Order,
         book: &Book,
         limit: usize,
+        skip: &BTreeSet<MemberId>,
     ) -> Option<(MemberId, Life, Stamp)> {
         if book.permits.len() + self.through(now, order, book) >= limit {
             return None;
         }
         let revision = self.order.as_ref().map_or(0, |it| it.0);
         let whole: Vec<_> = self.sights.all_whole(now, settle(order)).collect();
-        let done = |zone: &Option<Name>| {
-            let inside = |id: MemberId| self.sights.roster.get(&id).is_some_and(|it| it.zone == *zone);
-            let out = book.permits.iter().filter(|it| inside(it.member)).count();
-            let there = |it: &&(MemberId, &Seen, &Sight)| {
-                it.1.zone == *zone && book.of(it.0).is_none() && !order.wants(&it.2.stand.version)
-            };
-            out + whole.iter().filter(there).count()
-        };
+        // Out or through, by zone.
+        let mut done: BTreeMap<&Option<Name>, usize> = BTreeMap::new();
+        let out = book.permits.iter().filter_map(|it| self.sights.roster.get(&it.member));
+        let there =
+            |it: &&(MemberId, &Seen, &Sight)| book.of(it.0).is_none() && !order.wants(&it.2.stand.version);
+        for zone in out.chain(whole.iter().filter(there).map(|it| it.1)).map(|it| &it.zone) {
+            *done.entry(zone).or_default() += 1;
+        }
         let may_go = |it: &&(MemberId, &Seen, &Sight)| {
             let (id, seen, Sight { stand, heard, .. }) = **it;
             let in_time = now - *heard <= Ms(f64::from(order.use_ms)) * 0.5;
             book.of(id).is_none()
+                && !skip.contains(&id)
                 && self.is_meant(order, id, seen)
                 && order.wants(&stand.version)
                 && !self.wrong.contains(&id)
@@ -140,7 +154,12 @@
             let hash = mixed(it.0, if forth { order.serial.0 } else { order.serial.0.wrapping_sub(1) });
             let last = self.councillors.contains(&it.0) == forth;
             // Whoever conducts goes last of all: each change of it settles the step anew.
-            (last, (it.0 == self.me) == forth, done(&it.1.zone), if forth { hash } else { u64::MAX - hash })
+            (
+                last,
+                (it.0 == self.me) == forth,
+                done.get(&it.1.zone).copied().unwrap_or(0),
+                if forth { hash } else { u64::MAX - hash },
+            )
         };
         let it = whole.iter().filter(may_go).min_by_key(key)?;
         Some((it.0, it.1.life, it.2.stand.at))
@@ -155,17 +174,14 @@
         if matches!(order.state, State::Halt | State::Stopped) {
             return true;
         }
+        let (all, goal) = (self.meant(order), self.goal(order));
+        // Those past the last step have still to go, and not under this order.
         if ended {
             let has_to = |it: (MemberId, &Seen, &Sight)| {
                 self.is_meant(order, it.0, it.1) && order.wants(&it.2.stand.version)
             };
-            return !self.sights.all_whole(now, settle(order)).any(has_to);
+            return goal < all || !self.sights.all_whole(now, settle(order)).any(has_to);
         }
-        let all = self.meant(order);
-        let goal = match (order.state, order.steps.last()) {
-            (State::Go, Some(last)) => last.of(all),
-            _ => all,
-        };
         self.through(now, order, book) >= goal
     }
 }
