--- a/releases/src/allows.rs
+++ b/releases/src/allows.rs
@@ -9,9 +9,9 @@
 use ottersail::time::Ms;
 use ottersail_members::MemberId;
 
-/// Whether an order may take that one's place: a greater serial, or the same halted. A halt by evidence keeps the
-/// serial: the operator's file of that serial, read again anywhere, does not undo it, and the next serial that
-/// the operator writes does.
+/// Whether an order may take that one's place: a greater serial, or the same halted. A halt by evidence keeps
+/// the serial: the operator's file of that serial, read again anywhere, does not undo it, and the next serial
+/// that the operator writes does.
 ///
 /// # Errors
 /// [`Refusal::Serial`].
@@ -39,8 +39,8 @@
         to: &Book,
     ) -> Result<(), Refusal> {
         let held = from.map_or(&[][..], |it| &it.permits);
-        // Asked for anew by the same life: it counts as out as before. Symptom without that: each councillor holds
-        // another stamp of one permit, none of them chosen, and each refuses the others' for ever.
+        // Asked for anew by the same life: it counts as out as before. Symptom without that: each councillor
+        // holds another stamp of one permit, none of them chosen, and each refuses the others' for ever.
         let renewed =
             |it: &Permit| to.of(it.member).is_some_and(|next| next.life == it.life && next.asked >= it.asked);
         for permit in held.iter().filter(|it| !to.permits.contains(it) && !renewed(it)) {
@@ -48,8 +48,8 @@
         }
         // What is chosen already was judged by a majority: one that missed it must not stand in its way.
         let known = |it: &&Permit| held.contains(it) || self.book.1.permits.contains(it);
-        // Nor is one judged that nobody can use any more. Symptom: a value of an older order that a few hold is
-        // refused by all others, and nothing else can be chosen.
+        // Nor is one judged that nobody can use any more. Symptom: a value of an older order that a few hold
+        // is refused by all others, and nothing else can be chosen.
         let dead = |it: &&Permit| self.is_back(now, order.map(|it| it.1), it);
         let new: Vec<&Permit> = to.permits.iter().filter(|it| !known(it) && !dead(it)).collect();
         if new.is_empty() {
@@ -143,7 +143,8 @@
         let (seen, name) = (self.sights.roster.get(&member), self.names.get(&member));
         let settle = Ms(f64::from(order.settle_ms));
         let known = self.known.get(permit);
-        // Symptom: the life before the permitted one, gone but not yet stale here, is taken for the one after it.
+        // Symptom: the life before the permitted one, gone but not yet stale here, is taken for the one after
+        // it.
         let after = |it: &Sight| {
             known.is_some_and(|known| it.heard > *known)
                 || name.is_some_and(|it| it.before == Some(permit.life))
@@ -161,8 +162,8 @@
         returned || never || struck
     }
 
-    /// By name, or by id as the notes tell it: the name of one that died before this councillor started is not
-    /// known here.
+    /// By name, or by id as the notes tell it: the name of one that died before this councillor started is
+    /// not known here.
     pub(crate) fn is_struck(&self, order: &Order, member: MemberId) -> bool {
         let id = member.to_string();
         let name = self.names.get(&member);
--- a/releases/src/book.rs
+++ b/releases/src/book.rs
@@ -9,8 +9,8 @@
 /// Permits out at once at most: what a register takes.
 pub const MOST_PERMITS: usize = 16;
 
-/// A moment by the clock of the one that it names, in milliseconds since it was born; nobody else reads a time
-/// from it.
+/// A moment by the clock of the one that it names, in milliseconds since it was born; nobody else reads a
+/// time from it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp(pub u64);
 
@@ -20,7 +20,8 @@
     pub member: MemberId,
     /// The life that may go; another one of the same name may not.
     pub life: Life,
-    /// When that life told that it stands whole; the permit may be used for `use_ms` after this, by its own clock.
+    /// When that life told that it stands whole; the permit may be used for `use_ms` after this, by its own
+    /// clock.
     pub asked: Stamp,
     /// The version to come back with.
     pub version: Name,
@@ -43,8 +44,8 @@
         std::iter::once(VERSION).chain(rest).collect()
     }
 
-    /// `None` if it is of a version that is not known here, cut, too long or not in order. Bytes after it are a
-    /// later version's.
+    /// `None` if it is of a version that is not known here, cut, too long or not in order. Bytes after it are
+    /// a later version's.
     pub fn read(bytes: &[u8]) -> Option<Book> {
         let (&VERSION, rest) = bytes.split_first()? else { return None };
         let book: Book = postcard::take_from_bytes(rest).ok()?.0;
--- a/releases/src/guards.rs
+++ b/releases/src/guards.rs
@@ -52,6 +52,7 @@
     stop_first,
     /// Stands count for some periods, from when they were told. Against: the dead counted as whole.
     fresh,
-    /// An order follows one of a lesser serial, or halts it. Against: an old file read again that undoes a halt.
+    /// An order follows one of a lesser serial, or halts it. Against: an old file read again that undoes a
+    /// halt.
     serials,
 );
--- a/releases/src/holder.rs
+++ b/releases/src/holder.rs
@@ -117,8 +117,8 @@
         (in_time && useful).then(|| Going { stamp: permit.asked, version: permit.version.clone() })
     }
 
-    /// Asked with a fresh clock once nothing more is taken. True: it goes out now and does not turn back. False:
-    /// it takes viewings again, and that permit is never used.
+    /// Asked with a fresh clock once nothing more is taken. True: it goes out now and does not turn back.
+    /// False: it takes viewings again, and that permit is never used.
     pub fn still_in_time(&mut self, now: Ms, going: &Going) -> bool {
         // Symptom: the process stood still between look and going; the fleet has been halted since.
         if self.guards.stop_first() && self.wants_out(now).as_ref() != Some(going) {
--- a/releases/src/lib.rs
+++ b/releases/src/lib.rs
@@ -1,6 +1,6 @@
-//! Drains and releases that a whole fleet agrees on (`docs/releases.md`): how many managers and servers are out
-//! at once, in which order they go, what halts them, and the way back. No I/O: time is an argument, wishes go
-//! out through a trait, what is agreed lies in the council's registers.
+//! Drains and releases that a whole fleet agrees on (`docs/releases.md`): how many managers and servers are
+//! out at once, in which order they go, what halts them, and the way back. No I/O: time is an argument,
+//! wishes go out through a trait, what is agreed lies in the council's registers.
 
 mod allows;
 mod book;
--- a/releases/src/look.rs
+++ b/releases/src/look.rs
@@ -10,9 +10,9 @@
 use std::collections::BTreeSet;
 
 impl Conductor {
-    /// The book to change, at which revision. Symptom without the second one: a value that this acceptor alone
-    /// holds, of an order that is halted, is taken up by each round and refused by all others for ever. What was
-    /// not chosen of it is left out; if it was chosen, its other acceptors keep that from passing.
+    /// The book to change, at which revision. Symptom without the second one: a value that this acceptor
+    /// alone holds, of an order that is halted, is taken up by each round and refused by all others for ever.
+    /// What was not chosen of it is left out; if it was chosen, its other acceptors keep that from passing.
     fn base(&self) -> (u64, Book) {
         let (revision, held) = &self.accepted;
         if !self.atop || *revision <= self.book.0 {
--- a/releases/src/order.rs
+++ b/releases/src/order.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// How many may be out at once, and of how many. Told by the operator and not counted by a member: one that knows
-/// few others would think that few are missing.
+/// How many may be out at once, and of how many. Told by the operator and not counted by a member: one that
+/// knows few others would think that few are missing.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bounds {
     /// All that belong to the fleet.
@@ -209,8 +209,8 @@
         std::iter::once(VERSION).chain(rest).collect()
     }
 
-    /// `None` if it is of a version that is not known here, cut, or one that can't stand. Bytes after it are a
-    /// later version's.
+    /// `None` if it is of a version that is not known here, cut, or one that can't stand. Bytes after it are
+    /// a later version's.
     pub fn read(bytes: &[u8]) -> Option<Order> {
         let (&VERSION, rest) = bytes.split_first()? else { return None };
         let order: Order = postcard::take_from_bytes(rest).ok()?.0;
--- a/releases/src/refusal.rs
+++ b/releases/src/refusal.rs
@@ -18,12 +18,12 @@
     #[error("{serial:?} is halted; order go or back under a greater serial")]
     Halted { serial: Serial },
     #[error(
-        "{whole} would be whole of {fleet}, at most {most} may be out: wait for those that are not seen whole, \
+        "{whole} would be whole of {fleet}, at most {most} may be out: wait for those not seen whole, \
          start them, or raise most-out under a greater serial"
     )]
     Full { whole: usize, fleet: usize, most: usize },
     #[error(
-        "zone {zone}: {whole} would be whole of {has}, at most {most} may be out: wait for those that are not \
+        "zone {zone}: {whole} would be whole of {has}, at most {most} may be out: wait for those not \
          seen whole, start them, or raise the zone's most-out under a greater serial"
     )]
     Zone { zone: Name, whole: usize, has: usize, most: usize },
@@ -39,7 +39,7 @@
     #[error("{member} would come back with {has}, ordered is {wanted}; report this")]
     Version { member: MemberId, has: Name, wanted: Name },
     #[error(
-        "serial {given} is not greater than {stands}, which stands; raise it in the file, if the file is meant"
+        "serial {given} is not greater than {stands}, which stands; raise it in the file if that is meant"
     )]
     Serial { given: u64, stands: u64 },
 }
--- a/releases/src/seen.rs
+++ b/releases/src/seen.rs
@@ -1,5 +1,5 @@
-//! Who is whole, as one councillor sees it. Counted is the evidence of being there: whoever is not heard of is
-//! out.
+//! Who is whole, as one councillor sees it. Counted is the evidence of being there: whoever is not heard of
+//! is out.
 
 use crate::guards::Guards;
 use crate::order::Name;
--- a/releases/src/tests/council.rs
+++ b/releases/src/tests/council.rs
@@ -1,5 +1,5 @@
-//! A simple model of the council: two CASPaxos registers (Rystsov 2018), what was promised kept through restarts.
-//! Each acceptor asks its own conductor's guard.
+//! A simple model of the council: two CASPaxos registers (Rystsov 2018), what was promised kept through
+//! restarts. Each acceptor asks its own conductor's guard.
 
 use crate::*;
 use std::collections::{BTreeMap, BTreeSet};
--- a/releases/src/tests/tables.rs
+++ b/releases/src/tests/tables.rs
@@ -57,6 +57,10 @@
     assert!(book(&plain.collect::<Vec<_>>()).bytes().len() <= 600);
 }
 
+fn many_zones() -> BTreeMap<Name, (u16, u16)> {
+    (0..13).map(|it| (name(&it.to_string()), (1, 1))).collect()
+}
+
 #[test_case(|it| it.steps.clear(), "steps = one"; "no steps")]
 #[test_case(|it| it.steps = vec![Step::Count(1); 9], "leave some out"; "steps")]
 #[test_case(|it| it.steps = vec![Step::Part(0)], "from 1 to 1000"; "part of a step")]
@@ -66,7 +70,7 @@
 #[test_case(|it| it.bounds.most_out = 9, "leave some"; "all out")]
 #[test_case(|it| it.bounds.zones.values_mut().for_each(|it| it.1 = 4), "no more than it has"; "zone")]
 #[test_case(|it| it.bounds.fleet = 10, "have to be equal"; "sum")]
-#[test_case(|it| it.bounds.zones = (0..13).map(|it| (name(&it.to_string()), (1, 1))).collect(), "need a bound"; "zones")]
+#[test_case(|it| it.bounds.zones = many_zones(), "need a bound"; "zones")]
 #[test_case(|it| it.use_ms = 499, "500 to 60000"; "use")]
 #[test_case(|it| it.settle_ms = 99, "100 to 3600000"; "settle")]
 #[test_case(|it| it.who = Who::Named(vec![Name::new(&"n".repeat(32)).unwrap(); 20]), "shorter names"; "long")]
--- a/releases/src/tests/world.rs
+++ b/releases/src/tests/world.rs
@@ -1,5 +1,5 @@
-//! A fleet in true time: clocks that run apart, messages lost, late, doubled or cut one way, processes killed or
-//! standing still, and the supervisor that starts the version ordered.
+//! A fleet in true time: clocks that run apart, messages lost, late, doubled or cut one way, processes killed
+//! or standing still, and the supervisor that starts the version ordered.
 
 use super::council::*;
 use super::judge::Judge;
--- a/releases/src/turn.rs
+++ b/releases/src/turn.rs
@@ -114,8 +114,8 @@
         }
     }
 
-    /// Whose turn it is: the zone with the fewest out or through first, then by a hash; councillors last. On the
-    /// way back the other way round.
+    /// Whose turn it is: the zone with the fewest out or through first, then by a hash; councillors last. On
+    /// the way back the other way round.
     pub(crate) fn next(
         &self,
         now: Ms,
@@ -165,8 +165,8 @@
         Some((it.0, it.1.life, it.2.stand.at))
     }
 
-    /// Whether nobody has anything to do any more under that order. Once told so, holders say nothing more, so it
-    /// stays until one of them says that it has.
+    /// Whether nobody has anything to do any more under that order. Once told so, holders say nothing more,
+    /// so it stays until one of them says that it has.
     pub(crate) fn is_through(&self, now: Ms, order: &Order, book: &Book, ended: bool) -> bool {
         if !book.permits.is_empty() {
             return false;
--- a/releases/src/watch.rs
+++ b/releases/src/watch.rs
@@ -1,4 +1,5 @@
-//! Where evidence of a bad version meets the conductor: what members counted since the last look, and a verdict.
+//! Where evidence of a bad version meets the conductor: what members counted since the last look, and a
+//! verdict.
 
 use crate::conductor::Conductor;
 use crate::order::State;
@@ -37,9 +38,9 @@
 }
 
 impl Conductor {
-    /// What each whole member counted since the last call, those released and those not: same seconds for all,
-    /// give or take two periods. Empty while no order goes. For whatever weighs evidence; it answers with
-    /// [`Conductor::verdict`].
+    /// What each whole member counted since the last call, those released and those not: same seconds for
+    /// all, give or take two periods. Empty while no order goes. For whatever weighs evidence; it answers
+    /// with [`Conductor::verdict`].
     pub fn window(&mut self, now: Ms) -> Vec<(bool, Counts)> {
         let Some((_, order)) = self.order.clone().filter(|it| it.1.state == State::Go) else { return vec![] };
         let mut last = BTreeMap::new();
