--- a/releases/src/tests/histories.rs
+++ b/releases/src/tests/histories.rs
@@ -220,26 +220,15 @@
 }
 
 #[test]
-#[ignore = "by hand: SEED=8"]
+#[ignore = "by hand, for one that breaks: SEED=8"]
 fn one_by_hand() {
     let seed = std::env::var("SEED").unwrap().parse().unwrap();
     let (mut world, mut operator) = ill(seed, Guards::all());
-    println!("{:?} {}", world.now, world.notes.len());
     let ended = well(&mut world, &mut operator);
-    println!("{ended:?} councillors {}", world.councillors);
     for (at, note) in world.notes.iter().rev().take(12).rev() {
         println!("{at:?} {note}");
     }
-    for (at, it) in world.nodes.iter().enumerate() {
-        let known: Vec<u64> = it.known.values().map(|it| it.0).collect();
-        println!(
-            "{at} {} ready {} life {:?} known {known:?} holder {:?}",
-            it.version,
-            it.ready,
-            it.life,
-            it.holder.wants_out(world.local(at))
-        );
-    }
-    println!("{:#?}", world.nodes[0].conductor.as_ref().unwrap().view(world.local(0)));
-    println!("{:?}", world.nodes[0].conductor.as_ref().unwrap().book);
+    let conductor = world.nodes[0].conductor.as_ref().unwrap();
+    println!("{:#?}\n{:?}", conductor.view(world.local(0)), conductor.book);
+    assert!(ended.is_some() && world.judge.broken.is_none());
 }
