--- a/releases/src/evidence/tests.rs
+++ b/releases/src/evidence/tests.rs
@@ -24,6 +24,17 @@
     assert!(false_alarms.len() <= 1, "{false_alarms:?} of 56");
 }
 
+/// Without a part of the mean over those not released, these are where the mixture alone halts.
+#[test]
+fn rare_bursts_do_not_halt() {
+    let plan = Plan { rate: 1.0, base: 0.02, ..PLAN };
+    let plays = [Noise::Bursts, Noise::All].map(|noise| Plan { noise, ..plan });
+    let halts =
+        plays.into_iter().flat_map(|it| (0..10).filter_map(move |seed| Play::new(it, 6 * seed).run()));
+    let halts: Vec<Halt> = halts.collect();
+    assert!(halts.len() <= 1, "{halts:?} of 20");
+}
+
 #[test_case(0.05, 0.02, Noise::Plain, true; "five points, where the second step is held")]
 #[test_case(0.05, 0.05, Noise::Plain, true; "five points of five")]
 #[test_case(0.1, 0.05, Noise::Bursts, true; "ten points in bursts, where it is held")]
