--- a/releases/src/evidence/tests/figures.rs
+++ b/releases/src/evidence/tests/figures.rs
@@ -1,5 +1,6 @@
 //! Large counts, for `docs/releases-evidence.md`. Run with `cargo test --release -p ottersail-releases -- --ignored
-//! --nocapture figures`; `PART=1/3` does the first of three parts, `PLAYS` so many of each.
+//! --nocapture figures`; `PART=1/3` does the first of three parts, `PLAYS` so many of each, `HELD=1` holds
+//! the second step.
 
 use super::fleet::{Halt, Play};
 use super::plan::{Noise, Plan, NOISES, PLAN};
@@ -22,6 +23,7 @@
 #[test]
 #[ignore = "minutes"]
 fn figures_of_false_alarms() {
+    let held = std::env::var("HELD").is_ok();
     let sizes = [60, 200, 10];
     for (at, (members, noise)) in sizes.into_iter().flat_map(|it| NOISES.map(|noise| (it, noise))).enumerate()
     {
@@ -31,7 +33,7 @@
         let (mut halts, mut wald, mut quasi, mut mixture) = (vec![], 0, 0, 0);
         for seed in 0..plays() {
             let (base, rate) = (BASES[seed as usize % 3], RATES[seed as usize / 3 % 2]);
-            let mut play = Play::new(Plan { members, noise, base, rate, ..PLAN }, seed);
+            let mut play = Play::new(Plan { members, noise, base, rate, held, ..PLAN }, seed);
             halts.extend(play.run().map(|it| (base, rate, it)));
             wald += usize::from(play.others.wald.is_some());
             quasi += usize::from(play.others.quasi.is_some());
