--- a/releases/src/lib.rs
+++ b/releases/src/lib.rs
@@ -5,6 +5,7 @@
 mod allows;
 mod book;
 mod conductor;
+mod evidence;
 mod guards;
 mod holder;
 mod look;
@@ -25,6 +26,7 @@
 pub use allows::follows;
 pub use book::{Book, Permit, Stamp, MOST_PERMITS};
 pub use conductor::Conductor;
+pub use evidence::{Evidence, Figures, Side, Told, Verdict, What};
 pub use guards::Guards;
 pub use holder::{Going, Holder};
 pub use notes::Note;
--- a/releases/src/look.rs
+++ b/releases/src/look.rs
@@ -26,6 +26,7 @@
 
     pub(crate) fn look(&mut self, now: Ms, revision: u64, order: &Order, out: &mut dyn Wishes) {
         self.tell_waits(now, order, out);
+        self.weigh(now, order);
         if let (Some(why), Some(halted)) = (self.watch.verdict.clone(), stopped(order)) {
             if self.watch.tells() {
                 out.note(Note::Evidence { serial: order.serial, why });
--- a/releases/src/tests/conducting.rs
+++ b/releases/src/tests/conducting.rs
@@ -67,16 +67,26 @@
     assert_eq!((waits(out), waits(bell(&mut conductor, 60e3))), (1, 0));
 }
 
-#[test_case(0, None; "nothing came")]
-#[test_case(7, Some(7); "what came since")]
-fn evidence_gets_what_was_counted_in_a_window(blocked: u64, seen: Option<u64>) {
+/// Ten of twenty viewings a second are blocked by one that is released, or by none.
+#[test_case(10, true; "a bad version")]
+#[test_case(0, false; "a good one")]
+fn a_bad_version_is_halted_by_evidence(blocked: u64, halts: bool) {
     let mut conductor = councillor(ALL);
-    let first = conductor.window(Ms(13e3));
-    assert!(first.is_empty());
-    let counts = Counts { blocked, ..Counts::default() };
-    conductor.stand(Ms(14e3), id(3), Life(1), &Stand { counts, ..stand(14_000) });
-    let window = conductor.window(Ms(14e3));
-    assert_eq!(window.len(), 9);
-    assert_eq!(window.iter().map(|it| it.1.blocked).max().filter(|it| *it > 0), seen);
-    assert!(window.iter().all(|it| !it.0));
+    conductor.conducts(Ms(13e3), true);
+    let mut halted = None;
+    for second in 14..90_u64 {
+        let (now, through) = (second as f64 * 1e3, second.saturating_sub(30));
+        for member in ALL {
+            let released = *member == 3 && through > 0;
+            let bad = if released { blocked * through } else { 0 };
+            let counts = Counts { asked: 20 * second, blocked: bad, ..Counts::default() };
+            let version = if released { go().version } else { go().before };
+            let told = Stand { counts, version, ..stand(second * 1_000) };
+            conductor.stand(Ms(now), id(*member), Life(1), &told);
+        }
+        halted = halted.or(bell(&mut conductor, now + 200.0).halts.pop());
+    }
+    assert_eq!(halted.map(|it| (it.0, it.1.state)), halts.then_some((7, State::Stopped)));
+    let told = conductor.view(Ms(90e3)).unwrap().halted_by;
+    assert_eq!(told.is_some_and(|it| it.contains("viewings end badly at 1 released")), halts);
 }
--- a/releases/src/watch.rs
+++ b/releases/src/watch.rs
@@ -1,17 +1,22 @@
-//! Where evidence of a bad version meets the conductor: what members counted since the last look, and a
-//! verdict.
+//! Where evidence of a bad version meets the conductor: those released against the others, window by window, until
+//! there is a verdict.
 
 use crate::conductor::Conductor;
-use crate::order::State;
-use crate::stand::Counts;
+use crate::evidence::{Evidence, Figures, Told, Verdict, What};
+use crate::order::{Order, State};
 use crate::turn::settle;
 use ottersail::time::Ms;
-use ottersail_members::{Life, MemberId};
 use std::collections::BTreeMap;
+use std::fmt;
+
+/// Periods of a window: members tell what they counted once in as many.
+const WINDOW: f64 = 2.0;
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watch {
-    last: BTreeMap<MemberId, (Life, Counts)>,
+    /// Since the order stands: before the first goes out it learns what is usual.
+    evidence: Option<Evidence>,
+    weigh_at: Option<Ms>,
     pub verdict: Option<String>,
     told: bool,
 }
@@ -23,37 +28,51 @@
     }
 }
 
-impl Counts {
-    /// What came since then; `None` if less was counted, which no life does.
-    fn since(&self, then: &Counts) -> Option<Counts> {
-        Some(Counts {
-            asked: self.asked.checked_sub(then.asked)?,
-            blocked: self.blocked.checked_sub(then.blocked)?,
-            aborted: self.aborted.checked_sub(then.aborted)?,
-            broken_off: self.broken_off.checked_sub(then.broken_off)?,
-            set_ups: self.set_ups.checked_sub(then.set_ups)?,
-            set_up_ms: self.set_up_ms.checked_sub(then.set_up_ms)?,
-        })
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Figures { windows, released, not_released, points, set_up, .. } = self.figures;
+        match self.what {
+            What::BadEnds => write!(f, "{points:.1} points more viewings end badly")?,
+            What::SetUpTime => write!(f, "set-ups take {set_up:.2} times as long")?,
+        }
+        write!(
+            f,
+            " at {} released ({:.0} of {:.0}) than at {} others ({:.0} of {:.0}), {windows} windows",
+            released.members,
+            released.bad,
+            released.asked,
+            not_released.members,
+            not_released.bad,
+            not_released.asked
+        )
     }
 }
 
 impl Conductor {
-    /// What each whole member counted since the last call, those released and those not: same seconds for
-    /// all, give or take two periods. Empty while no order goes. For whatever weighs evidence; it answers
-    /// with [`Conductor::verdict`].
-    pub fn window(&mut self, now: Ms) -> Vec<(bool, Counts)> {
-        let Some((_, order)) = self.order.clone().filter(|it| it.1.state == State::Go) else { return vec![] };
-        let mut last = BTreeMap::new();
-        let mut window = Vec::new();
-        for (id, seen, sight) in self.sights.all_whole(now, settle(&order)) {
-            let counts = sight.stand.counts;
-            last.insert(id, (seen.life, counts));
-            let before = self.watch.last.get(&id).filter(|it| it.0 == seen.life);
-            if let Some(difference) = before.and_then(|it| counts.since(&it.1)) {
-                window.push((sight.stand.version == order.version, difference));
-            }
+    /// One window, if it is time for one: all that are seen whole, so that neither a start nor an end counts.
+    pub(crate) fn weigh(&mut self, now: Ms, order: &Order) {
+        let early = self.watch.weigh_at.is_some_and(|it| now < it);
+        let goes = order.state == State::Go && order.halts.by_evidence;
+        if early || !goes || self.watch.verdict.is_some() {
+            return;
+        }
+        self.watch.weigh_at = Some(now + self.period * WINDOW);
+        let told = |stand: &crate::Stand, life| Told {
+            life,
+            released: stand.version == order.version,
+            counts: stand.counts,
+        };
+        let whole = self.sights.all_whole(now, settle(order));
+        let members: BTreeMap<_, _> =
+            whole.map(|(id, seen, sight)| (id, told(&sight.stand, seen.life))).collect();
+        let evidence = self.watch.evidence.get_or_insert_with(|| Evidence::new(order.halts));
+        if let Some(verdict) = evidence.window(&members) {
+            self.verdict(now, &verdict.to_string());
         }
-        self.watch.last = last;
-        window
+    }
+
+    /// What has been seen so far of those released against the others.
+    pub fn evidence(&self) -> Option<Figures> {
+        self.watch.evidence.as_ref().map(Evidence::told)
     }
 }
