--- a/daemon/src/fleet/council/carry.rs
+++ b/daemon/src/fleet/council/carry.rs
@@ -94,6 +94,10 @@
     fn go_out(&self) {
         let going = self.counsel.council.borrow().as_ref().and_then(|it| it.wants_out(self.now()));
         let (Some(going), Some(owner)) = (going, self.counsel.owner.upgrade()) else { return };
+        // Told to end already: else a permit that ran out would have it take viewings again.
+        if owner.front(|it| it.is_draining()) {
+            return;
+        }
         owner.tell(&Told::Drain);
         let now = self.now();
         let in_time = |it: &mut Council| it.still_in_time(now, &going);
--- a/front/src/front.rs
+++ b/front/src/front.rs
@@ -89,6 +89,10 @@
         info!(waiting = self.desk.asks.len(), watches = self.desk.watches.len(), "draining");
     }
 
+    pub fn is_draining(&self) -> bool {
+        self.desk.draining
+    }
+
     /// It is not to go after all: viewings are taken again.
     pub fn resume(&mut self, now: Ms) {
         self.at(now).draining = false;
--- a/front/src/tests/requests.rs
+++ b/front/src/tests/requests.rs
@@ -13,7 +13,9 @@
     assert_eq!(stage.front.waiting(), 1);
     assert!(has(&stage.ends(&first, playing()), "reply 1 Playlist"));
     assert_eq!(stage.front.waiting(), 0);
+    assert!(stage.front.is_draining());
     stage.does(|front, now, _| front.resume(now));
+    assert!(!stage.front.is_draining());
     assert_eq!(all_set_ups(&stage.asks("clips")).len(), 1, "taken again");
 }
 
