Tests that fail: ends among more servers than connections, and restarted servers

New: video servers of the live platform as stand-ins by the thousand, which die, come back, crash; clients at a rate; a command channel; a judge of the platform's rules from the sockets; managers as processes.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod run;
 pub mod service;
 pub mod settings;
+pub mod trial;
 pub mod worker;
--- /dev/null
+++ b/daemon/tests/many_servers/main.rs
@@ -0,0 +1,51 @@
+//! `ottersail node` among more servers than it may hold connections to, over loopback.
+
+mod scene;
+
+use ottersail_fake_servers::media::MediaOrder;
+use scene::{Scene, SceneSettings};
+use std::time::Duration;
+
+/// A trial in which the ends of hundreds of sessions at hundreds of servers come while each connection that the
+/// node may hold is in use.
+fn many() -> SceneSettings {
+    SceneSettings {
+        servers: 400,
+        network: 90,
+        sockets: 128,
+        per_second: 30.0,
+        life: Duration::from_secs(8)..Duration::from_secs(14),
+        note_every: Duration::from_secs(2),
+    }
+}
+
+/// Guards against: an end at a server to which no connection was kept is never heard.
+#[test]
+fn ends_at_more_servers_than_connections_are_told_in_time() {
+    let scene = Scene::start(&many());
+    scene.play(Duration::from_secs(26));
+    scene.end_and_judge();
+}
+
+/// Guards against: servers that die while all connections are in use are never found out.
+#[test]
+fn deaths_among_more_servers_than_connections_are_told_in_time() {
+    let scene = Scene::start(&SceneSettings { network: 91, ..many() });
+    scene.play(Duration::from_secs(10));
+    scene.fleet.tell(MediaOrder::Die((0..130).collect()));
+    scene.play(Duration::from_secs(10));
+    scene.end_and_judge();
+}
+
+/// Guards against: a server that died and came back before it was given up is taken for the one from before.
+#[test]
+fn servers_that_return_restarted_are_not_taken_for_those_from_before() {
+    let scene = Scene::start(&SceneSettings { network: 92, sockets: 512, per_second: 15.0, ..many() });
+    scene.play(Duration::from_secs(6));
+    let died: Vec<usize> = (0..130).collect();
+    scene.fleet.tell(MediaOrder::Die(died.clone()));
+    scene.play(Duration::from_millis(3_500));
+    scene.fleet.tell(MediaOrder::ReturnRestarted(died));
+    scene.play(Duration::from_secs(7));
+    scene.end_and_judge();
+}
--- a/fake-servers/src/lib.rs
+++ b/fake-servers/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod book;
 mod boxes;
+pub mod callers;
+pub mod commands;
 mod day;
 mod error;
 mod faults;
@@ -10,6 +12,7 @@
 mod http;
 mod list;
 mod lives;
+pub mod media;
 mod players;
 mod record;
 mod run;
--- a/invariants/src/lib.rs
+++ b/invariants/src/lib.rs
@@ -2,6 +2,7 @@
 //! clock. Nothing that a manager says of itself counts.
 
 mod error;
+pub mod platform;
 pub mod record;
 mod report;
 mod rules;
