--- a/fake-servers/src/media.rs
+++ b/fake-servers/src/media.rs
@@ -4,6 +4,7 @@
 
 mod connection;
 mod listening;
+mod reach;
 mod record;
 mod server;
 mod sessions;
--- a/fake-servers/src/media/server.rs
+++ b/fake-servers/src/media/server.rs
@@ -19,14 +19,14 @@
 /// What the release of a session that came to its end names.
 const SERVED: u16 = 16;
 
-struct Session {
+pub(super) struct Session {
     connection: u64,
     ends_at: Instant,
     note_at: Option<Instant>,
 }
 
 /// Whether others reach it.
-enum Reach {
+pub(super) enum Reach {
     Listens { listener: Rc<Listener>, _accepts: Task<()> },
     CutOff { _unreachable: Unreachable },
     Down,
@@ -35,15 +35,15 @@
 pub struct Server {
     exec: Exec,
     number: usize,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     settings: MediaSettings,
     log: MediaLog,
-    reach: Reach,
-    connections: BTreeMap<u64, SharedOutput>,
+    pub(super) reach: Reach,
+    pub(super) connections: BTreeMap<u64, SharedOutput>,
     accepted: u64,
-    sessions: BTreeMap<String, Session>,
+    pub(super) sessions: BTreeMap<String, Session>,
     /// Releases that are said on the next connection too.
-    said_again: Vec<String>,
+    pub(super) said_again: Vec<String>,
 }
 
 impl Server {
@@ -69,7 +69,7 @@
         Ok(server)
     }
 
-    fn begin_listening(server: &Rc<RefCell<Server>>) -> io::Result<()> {
+    pub(super) fn begin_listening(server: &Rc<RefCell<Server>>) -> io::Result<()> {
         let (exec, address) = (server.borrow().exec, server.borrow().address);
         server.borrow_mut().stop_listening();
         let listener = Rc::new(Listener::new(listen(address)?)?);
@@ -89,7 +89,7 @@
     }
 
     /// At once: its task would close the listener only in its next turn.
-    fn stop_listening(&mut self) {
+    pub(super) fn stop_listening(&mut self) {
         if let Reach::Listens { listener, .. } = &self.reach {
             _ = SockRef::from(listener.get_ref()).shutdown(Shutdown::Read);
         }
@@ -150,7 +150,7 @@
         own.or_else(|| self.connections.values().next_back())
     }
 
-    fn over(&mut self, session: &str, end: End) {
+    pub(super) fn over(&mut self, session: &str, end: End) {
         let Some(ended) = self.sessions.remove(session) else {
             return;
         };
@@ -189,59 +189,6 @@
             output.into_iter().for_each(|output| say(output, &sessions::note(&name, "local", 0.5)));
         }
     }
-
-    fn set_conditions(&self, from: Condition, to: Condition) {
-        let of_it = |output: &&SharedOutput| output.borrow().condition == from;
-        self.connections.values().filter(of_it).for_each(|output| set_condition(output, to));
-    }
-
-    pub fn vanish(server: &Rc<RefCell<Server>>) {
-        let mut server = server.borrow_mut();
-        server.set_conditions(Condition::Works, Condition::Quiet);
-        server.stop_listening();
-        let unreachable = Unreachable::at(server.address);
-        let unreachable = unreachable.expect("the address was this server's a moment ago");
-        server.reach = Reach::CutOff { _unreachable: unreachable };
-    }
-
-    /// Its machine dies without a word.
-    pub fn die(server: &Rc<RefCell<Server>>) {
-        Server::vanish(server);
-        server.borrow_mut().cut_sessions();
-    }
-
-    pub fn reappear(server: &Rc<RefCell<Server>>) {
-        server.borrow().set_conditions(Condition::Quiet, Condition::Works);
-        Server::begin_listening(server).expect("the address was this server's a moment ago");
-    }
-
-    pub fn return_restarted(server: &Rc<RefCell<Server>>) {
-        server.borrow_mut().forget_connections(Condition::Forgotten);
-        Server::begin_listening(server).expect("the address was this server's a moment ago");
-    }
-
-    pub fn crash(server: &Rc<RefCell<Server>>) {
-        let mut server = server.borrow_mut();
-        server.cut_sessions();
-        server.forget_connections(Condition::Reset);
-        server.stop_listening();
-    }
-
-    pub fn restart(server: &Rc<RefCell<Server>>) {
-        Server::begin_listening(server).expect("the address was this server's a moment ago");
-    }
-
-    /// The process is no more: what played with it is over, and nothing is owed.
-    fn cut_sessions(&mut self) {
-        let sessions: Vec<String> = self.sessions.keys().cloned().collect();
-        sessions.iter().for_each(|session| self.over(session, End::Cut));
-        self.said_again.clear();
-    }
-
-    fn forget_connections(&mut self, condition: Condition) {
-        let connections = std::mem::take(&mut self.connections);
-        connections.values().for_each(|output| set_condition(output, condition));
-    }
 }
 
 impl Drop for Server {
