Sessions at a server that may have come back as another process are not kept on trust

Callers were never told of ends at servers that died and came back within the 4.5 to 5 s that a death takes to be noticed: the next dial came up and counted as proof that the sessions stand, until the list told of the start, which in the incident came 4 s or more after the return and so past 8 s. Among few servers attempts of other sessions find a death sooner; among thousands none goes to the same server. Evidence: 6 and 7 sessions never told in the process test before this change.

The daemon tells an orderly close from a reset.

--- a/daemon/src/node/connection_io.rs
+++ b/daemon/src/node/connection_io.rs
@@ -14,6 +14,17 @@
 const IN_A_ROW: usize = 4;
 const PARTING: Duration = Duration::from_millis(1_000);
 
+/// How a conversation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// The other side closed in good order.
+    Closed,
+    /// It broke.
+    Broken,
+    /// This side closed it, and the other did not in time, or was not waited for.
+    Ours,
+}
+
 /// What one turn has read.
 pub(crate) enum Heard<'a> {
     /// The other side may say more.
@@ -30,9 +41,9 @@
     mut heard: impl FnMut(Heard),
     linger: Duration,
     lingering: &Lingering,
-) {
+) -> Ending {
     let mut buffer = vec![0u8; PIECE];
-    poll_fn(|cx| poll_turn(&mut stream, out, &mut buffer, &mut heard, cx)).await;
+    let ending = poll_fn(|cx| poll_turn(&mut stream, out, &mut buffer, &mut heard, cx)).await;
     let (half_closed, overrun) = (out.borrow().half_closed, out.borrow().overrun);
     if half_closed && !overrun {
         return hear_out(stream, &mut buffer, &mut heard).await;
@@ -42,12 +53,13 @@
     let worth =
         |unsent: &Unsent| unsent.last && !unsent.overrun && (unsent.spoken || !unsent.bytes.is_empty());
     if !worth(&out.borrow()) {
-        return;
+        return ending;
     }
     if let Some(_slot) = lingering.enter() {
         let late = Timer::after(linger);
         futures_lite::future::or(drain(stream, out, &mut buffer), late).await;
     }
+    ending
 }
 
 /// One turn: writes what waits, reads what has come, and tells it.
@@ -57,23 +69,23 @@
     buffer: &mut Vec<u8>,
     heard: &mut impl FnMut(Heard),
     cx: &mut Context,
-) -> Poll<()> {
-    if !matches!(write_out(stream, out, cx), Written::So) {
-        return Poll::Ready(());
+) -> Poll<Ending> {
+    if let Some(ending) = write_out(stream, out, cx).ending() {
+        return Poll::Ready(ending);
     }
     let (read, state) = read_turn(stream, buffer, cx);
     let bytes = &buffer[..read];
     match state {
-        TurnEnd::Closed => {
+        TurnEnd::Closed(ending) => {
             heard(Heard::Closed(bytes));
-            return Poll::Ready(());
+            return Poll::Ready(ending);
         }
         _ if read > 0 => heard(Heard::More(bytes)),
         _ => {}
     }
     // What was just read may have left something to say.
-    if !matches!(write_out(stream, out, cx), Written::So) {
-        return Poll::Ready(());
+    if let Some(ending) = write_out(stream, out, cx).ending() {
+        return Poll::Ready(ending);
     }
     if matches!(state, TurnEnd::Full) {
         cx.waker().wake_by_ref();
@@ -91,7 +103,7 @@
     Empty,
     /// More may be there; others have their turn first.
     Full,
-    Closed,
+    Closed(Ending),
 }
 
 /// Reads until nothing more is there, for a few pieces at most; the count of bytes now in the buffer.
@@ -105,7 +117,8 @@
             buffer.resize(filled + PIECE, 0);
         }
         match Pin::new(&mut *stream).poll_read(cx, &mut buffer[filled..]) {
-            Poll::Ready(Ok(0) | Err(_)) => return (filled, TurnEnd::Closed),
+            Poll::Ready(Ok(0)) => return (filled, TurnEnd::Closed(Ending::Closed)),
+            Poll::Ready(Err(_)) => return (filled, TurnEnd::Closed(Ending::Broken)),
             Poll::Ready(Ok(count)) => filled += count,
             Poll::Pending => return (filled, TurnEnd::Empty),
         }
@@ -113,20 +126,22 @@
 }
 
 /// Closes this side, and hears what still comes until the other side closes, for a while.
-async fn hear_out(mut stream: Stream, buffer: &mut [u8], heard: &mut impl FnMut(Heard)) {
+async fn hear_out(mut stream: Stream, buffer: &mut [u8], heard: &mut impl FnMut(Heard)) -> Ending {
     _ = Pin::new(&mut stream).close().await;
     let rest = async {
-        while let Ok(count) = stream.read(buffer).await {
-            if count == 0 {
-                break;
+        loop {
+            match stream.read(buffer).await {
+                Ok(0) => return Ending::Closed,
+                Ok(count) => heard(Heard::More(&buffer[..count])),
+                Err(_) => return Ending::Broken,
             }
-            heard(Heard::More(&buffer[..count]));
         }
     };
     futures_lite::future::or(rest, async {
         Timer::after(PARTING).await;
+        Ending::Ours
     })
-    .await;
+    .await
 }
 
 /// Writes the rest, closes this side, and drops what still comes until the other side closes.
@@ -163,6 +178,16 @@
     Broken,
 }
 
+impl Written {
+    fn ending(&self) -> Option<Ending> {
+        match self {
+            Written::So => None,
+            Written::Last => Some(Ending::Ours),
+            Written::Broken => Some(Ending::Broken),
+        }
+    }
+}
+
 fn write_out(stream: &mut Stream, out: &Out, cx: &mut Context) -> Written {
     let mut out = out.borrow_mut();
     if out.overrun {
--- a/daemon/src/node/connection_tasks.rs
+++ b/daemon/src/node/connection_tasks.rs
@@ -1,6 +1,6 @@
 //! The connections of a manager: each has one task, which reads and writes.
 
-use super::connection_io::{converse, Heard};
+use super::connection_io::{converse, Ending, Heard};
 use super::hub::Hub;
 use super::output::Out;
 use ottersail::time::Ms;
@@ -61,8 +61,10 @@
                 }
             };
             let lingering = hub.sockets.borrow().lingering.clone();
-            converse(stream, &out, heard, LINGER_AT_SERVER, &lingering).await;
-            ConnectionLoss::Reset
+            match converse(stream, &out, heard, LINGER_AT_SERVER, &lingering).await {
+                Ending::Closed => ConnectionLoss::Closed,
+                Ending::Broken | Ending::Ours => ConnectionLoss::Reset,
+            }
         }
         Err(how) => how,
     };
