--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -5,6 +5,7 @@
 mod channel;
 mod connection_io;
 mod connection_tasks;
+mod figures;
 mod hub;
 mod lingering;
 mod output;
@@ -102,6 +103,7 @@
             sockets: RefCell::new(sockets),
             channel: RefCell::new(channel),
             moved: RefCell::default(),
+            turns: hub::TurnTimes::default(),
             next_timer: Cell::new(f64::INFINITY),
             timer_waker: RefCell::default(),
         });
@@ -115,6 +117,7 @@
         let listener = listen(address).and_then(Listener::new);
         let listener = listener.map_err(|why| NodeError::Listen { address, why })?;
         exec.spawn(hub.clone().ring()).detach();
+        exec.spawn(figures::log_regularly(hub.clone())).detach();
         exec.spawn(accept(hub.clone(), listener)).detach();
         exec.spawn(channel::follow(hub.clone(), seed)).detach();
         info!(name, %address, "running");
--- a/daemon/src/node/shutdown.rs
+++ b/daemon/src/node/shutdown.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown, from SIGTERM to the end of the program.
 
+use super::figures;
 use super::hub::Hub;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -41,6 +42,7 @@
         flush(hub).await;
     };
     futures_lite::future::or(end, reloads).await;
+    figures::log(hub);
     info!("ended");
 }
 
