--- a/src/census.rs
+++ b/src/census.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Nothing changed after that time.
+    pub fn unchanged_since(&self, at: Ms) -> bool {
+        self.changes.back().is_none_or(|it| it.0 <= at)
+    }
+
     /// What was asked then, from what is asked now.
     pub fn at(&self, at: Ms, now: Own) -> Own {
         let since = self.changes.iter().rev().take_while(|it| it.0 > at);
--- a/src/placement/ledger.rs
+++ b/src/placement/ledger.rs
@@ -58,7 +58,10 @@
                 self.seated.remove(&(viewing.wish.title.clone(), viewing.wish.package));
             }
         }
-        let Some(server) = viewing.place().and_then(|place| self.servers.get_mut(place)) else {
+        let Some(place) = viewing.place() else {
+            return;
+        };
+        let Some(server) = self.servers.get_mut(place) else {
             return;
         };
         let (id, was_empty) = (server.entry.server.clone(), server.census.is_empty());
@@ -82,6 +85,9 @@
         }
         let uplink = self.uplinks.entry(rack).or_default();
         uplink.own = added(uplink.own, (rate, size));
+        if !uplink.asked.contains(place) {
+            uplink.asked.insert(place.clone());
+        }
         self.own = added(self.own, (rate, size));
         self.past.change(now, old, (rate, size));
         let least = self.rate(viewing.wish.package, self.package(viewing).floor);
@@ -146,7 +152,9 @@
         for entry in over {
             let (cell, rack) = (self.cell(entry.cell.0), self.rack_of(entry.cell));
             self.cells.entry(cell).or_default().remove(&entry.server);
-            self.uplinks.entry(rack).or_default().servers.remove(&entry.server);
+            let uplink = self.uplinks.entry(rack).or_default();
+            uplink.servers.remove(&entry.server);
+            uplink.asked.remove(&entry.server);
             self.links.forget(&entry.server);
             self.servers.remove(&entry.server);
         }
@@ -180,10 +188,16 @@
     pub(super) fn register(&mut self, entry: &Entry, before: &Entry) {
         let (cell, rack) = (self.cell(before.cell.0), self.rack_of(before.cell));
         self.cells.entry(cell).or_default().remove(&entry.server);
-        self.uplinks.entry(rack).or_default().servers.remove(&entry.server);
+        let uplink = self.uplinks.entry(rack).or_default();
+        uplink.servers.remove(&entry.server);
+        let asked = uplink.asked.remove(&entry.server);
         self.cells.entry(self.cell(entry.cell.0)).or_default().insert(entry.server.clone());
         let next = self.rack_of(entry.cell);
-        self.uplinks.entry(next).or_default().servers.insert(entry.server.clone());
+        let uplink = self.uplinks.entry(next).or_default();
+        uplink.servers.insert(entry.server.clone());
+        if asked {
+            uplink.asked.insert(entry.server.clone());
+        }
         if !self.servers[&entry.server].census.is_empty() {
             self.shared.weigh(&rack, -1.0);
             self.shared.weigh(&next, 1.0);
--- a/src/placement/tests/uplinks.rs
+++ b/src/placement/tests/uplinks.rs
@@ -19,6 +19,34 @@
     assert!((it.capacity(&it.servers[&"s0".into()], fill) - expected).abs() < 1e-9);
 }
 
+/// Guards against: a note of an uplink costs a look at each server of its rack, whether asked for anything or not.
+#[test]
+fn servers_without_viewings_add_nothing_to_what_is_asked_of_an_uplink() {
+    let mut it = placement(terms(), 40);
+    let mut most = 0;
+    for step in 0..200_usize {
+        it.now = it.now + Ms(70.0);
+        let (name, server) = (format!("v{}", step % 7), format!("s{}", step % 40));
+        it.amend(&ViewingId::from(name.as_str()), |viewing| {
+            viewing.phase = Phase::Over;
+            viewing.tune_ins.iter_mut().for_each(|tune_in| tune_in.outcome = Some(Outcome::Served));
+        });
+        if step % 11 < 7 {
+            playing(&mut it, &name, &server, step % 4);
+        }
+        it.note_uplink(&server.as_str().into(), 0.5, it.now);
+        let uplink = &it.uplinks[&it.rack(&it.servers[&server.as_str().into()])];
+        for at in [it.now, it.now - Ms(200.0)] {
+            let sum = |ids: &BTreeSet<ServerId>| {
+                ids.iter().map(|id| it.servers[id].own_at(at)).fold((0.0, 0.0), added)
+            };
+            assert_eq!(sum(&uplink.servers), sum(&uplink.asked));
+        }
+        most = most.max(uplink.asked.len());
+    }
+    assert!((2..20).contains(&most), "{most} of 20 servers looked at");
+}
+
 // Counts off by a fifth made the managers of an unreported uplink step down again and again.
 #[test]
 fn a_count_takes_nothing_from_viewings_that_play() {
--- a/src/placement/uplinks.rs
+++ b/src/placement/uplinks.rs
@@ -28,7 +28,11 @@
 
     pub(super) fn note_uplink(&mut self, server: &ServerId, asked: f64, at: Ms) {
         let Some(rack) = self.servers.get(server).map(|it| self.rack(it)) else { return };
-        let there = self.uplinks[&rack].servers.iter().map(|id| self.servers[id].own_at(at));
+        let old = (self.now - self.terms.seen_after).min(at);
+        let servers = &self.servers;
+        let Some(uplink) = self.uplinks.get_mut(&rack) else { return };
+        uplink.asked.retain(|id| !servers[id].unasked_since(old));
+        let there = uplink.asked.iter().map(|id| servers[id].own_at(at));
         let own = there.fold((0.0, 0.0), added);
         if let Some(uplink) = self.uplinks.get_mut(&rack) {
             if uplink.seen.is_none_or(|it| it.at <= at) {
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub struct Uplink {
     pub servers: BTreeSet<ServerId>,
+    /// Those of them where this manager has viewings, or lately had: the others add nothing to its part.
+    pub asked: BTreeSet<ServerId>,
     pub own: Own,
     pub seen: Option<Seen>,
     /// Where it is not reported: what short delivery showed to be missing from what its links ask of it, as a
@@ -81,6 +83,7 @@
         let counted = std::cell::Cell::new((Ms::LONG_AGO, 0.0, 0.0));
         Uplink {
             servers: BTreeSet::new(),
+            asked: BTreeSet::new(),
             own: (0.0, 0.0),
             seen: None,
             missing: (0.0, Ms::LONG_AGO),
@@ -115,6 +118,11 @@
         }
     }
 
+    /// This manager asks nothing of it, and has not since that time.
+    pub fn unasked_since(&self, at: Ms) -> bool {
+        self.census.is_empty() && self.own == (0.0, 0.0) && self.past.unchanged_since(at)
+    }
+
     pub fn own_at(&self, at: Ms) -> Own {
         self.past.at(at, self.own)
     }
