A manager that ends opens connections for the releases that wait for one

Cause: the end looked whether all that was said is written, not whether something waits for a connection; with all connections in use none was dialled. The end dials in place of connections that have said theirs, and waits for those at servers not known to fail, within the second that slow readers have.

--- a/daemon/src/node/shutdown.rs
+++ b/daemon/src/node/shutdown.rs
@@ -60,11 +60,13 @@
     }
 }
 
-/// Until all that was said last is written, or a slow reader has had its time.
+/// Until all that was said last is written, or a slow reader has had its time. Releases may wait for
+/// connections to their servers.
 async fn flush(hub: &Hub) {
     let written = async {
-        while !hub.sockets.borrow().all_out() {
+        while !hub.sockets.borrow().all_out() || hub.node.borrow().owes_releases() {
             Timer::after(FLUSH_LOOK_EVERY).await;
+            hub.with(|node, now, sockets| node.release_rest(now, sockets));
         }
     };
     // Tasks write in their own turns: one look at once would find nothing said yet.
--- a/daemon/tests/many_servers/main.rs
+++ b/daemon/tests/many_servers/main.rs
@@ -49,3 +49,14 @@
     scene.play(Duration::from_secs(7));
     scene.end_and_judge();
 }
+
+/// Guards against: a manager that ends releases only those sessions to whose servers a connection is open.
+#[test]
+fn sessions_at_more_servers_than_connections_are_released_at_shutdown() {
+    let life = Duration::from_secs(60)..Duration::from_secs(70);
+    let mut scene = Scene::start(&SceneSettings { network: 93, life, ..many() });
+    scene.play(Duration::from_secs(7));
+    scene.terminate_and_kill();
+    scene.play(Duration::from_millis(8_500));
+    scene.end_and_judge();
+}
--- a/daemon/tests/many_servers/scene.rs
+++ b/daemon/tests/many_servers/scene.rs
@@ -4,7 +4,8 @@
 use ottersail_fake_servers::callers::{CallerOrder, CallerSettings, Callers};
 use ottersail_fake_servers::commands::CommandChannel;
 use ottersail_fake_servers::media::{MediaFleet, MediaSettings};
-use ottersail_invariants::platform::{judge, Broken, Class, Terms, Trace};
+use ottersail_invariants::platform::{judge, Broken, Class, ManagerEvent, Terms, Trace};
+use rustix::process::Signal;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::{Duration, Instant};
@@ -27,6 +28,7 @@
     _channel: CommandChannel,
     callers: Callers,
     manager: Manager,
+    events: Vec<ManagerEvent>,
     _folder: TempDir,
 }
 
@@ -89,13 +91,31 @@
             connections: scene.sockets / 8,
         });
         callers.tell(CallerOrder::Load { manager: 0, address, per_second: scene.per_second });
-        Scene { began: Instant::now(), fleet, _channel: channel, callers, manager, _folder: folder }
+        Scene {
+            began: Instant::now(),
+            fleet,
+            _channel: channel,
+            callers,
+            manager,
+            events: Vec::new(),
+            _folder: folder,
+        }
     }
 
     pub fn play(&self, span: Duration) {
         std::thread::sleep(span);
     }
 
+    /// SIGTERM, and SIGKILL as early as the platform may send it.
+    pub fn terminate_and_kill(&mut self) {
+        self.callers.tell(CallerOrder::Stop { manager: 0 });
+        self.manager.signal(Signal::TERM);
+        self.events.push(ManagerEvent::Terminated { at: Instant::now(), manager: 0 });
+        self.manager.ends_within(PATIENCE + Duration::from_millis(700));
+        self.manager.kill();
+        self.events.push(ManagerEvent::Killed { at: Instant::now(), manager: 0 });
+    }
+
     /// Judges what was due by now.
     pub fn end_and_judge(self) {
         let ended = Instant::now();
@@ -107,7 +127,8 @@
         };
         let (clients, servers) = (self.callers.log().events(), self.fleet.log().events());
         let requests = clients.len();
-        let trace = Trace { began: self.began, ended, terms, clients, servers, managers: Vec::new() };
+        let trace =
+            Trace { began: self.began, ended, terms, clients, servers, managers: self.events.clone() };
         let broken = judge(&trace);
         let shown: Vec<String> = broken.iter().take(10).map(Broken::to_string).collect();
         let cost = self.manager.cost();
