Sessions at servers without a connection are released over the last second before the end

With 545 sessions, 331 servers of them without a connection, 147 were still playing at their servers after SIGKILL 0.7 s past the deadline: all releases began at once, 0.2 s before it. Now those that need a connection first are released over the second before the end; 53 are left for it, none after it (process test with 3,200 servers, a third of which die and return restarted meanwhile, 40 set-ups a second; it failed so before and is part of the suite now).

--- a/daemon/src/node/shutdown.rs
+++ b/daemon/src/node/shutdown.rs
@@ -18,6 +18,8 @@
 /// Clients that read slowly have so long for the last answers and releases. SIGKILL may come before that; an
 /// earlier end would lose the same.
 const FLUSHING: Duration = Duration::from_millis(1_000);
+/// So long before the end what stands at servers without a connection begins to be released.
+const RELEASING: Ms = Ms(1_000.0);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 const FLUSH_LOOK_EVERY: Duration = Duration::from_millis(5);
 
@@ -57,9 +59,21 @@
         if since >= most || (since >= ACCEPTING && idle) {
             return;
         }
+        release_unwatched(hub, most - since);
     }
 }
 
+/// Releases, over the last second, what stands at servers that a connection has to be opened to for that.
+fn release_unwatched(hub: &Hub, left: Ms) {
+    let (_, unwatched) = hub.node.borrow().server_connections();
+    if left > RELEASING || unwatched == 0 {
+        return;
+    }
+    let looks = (left.0 / LOOK_EVERY.as_secs_f64() / 1e3).floor() as usize;
+    let now = unwatched.div_ceil(looks.max(1));
+    hub.with(|node, at, sockets| node.release_unwatched(at, now, sockets));
+}
+
 /// Until all that was said last is written, or a slow reader has had its time. Releases may wait for
 /// connections to their servers.
 async fn flush(hub: &Hub) {
--- a/daemon/tests/many_servers/main.rs
+++ b/daemon/tests/many_servers/main.rs
@@ -60,3 +60,25 @@
     scene.play(Duration::from_millis(8_500));
     scene.end_and_judge();
 }
+
+#[test]
+fn big() {
+    let life = Duration::from_secs(4)..Duration::from_secs(30);
+    let mut scene = Scene::start(&SceneSettings {
+        network: 94,
+        servers: 3_200,
+        sockets: 608,
+        per_second: 40.0,
+        life,
+        ..many()
+    });
+    scene.play(Duration::from_secs(14));
+    let died: Vec<usize> = (0..3_200).filter(|it| it % 3 == 0).collect();
+    scene.fleet.tell(MediaOrder::Die(died.clone()));
+    scene.play(Duration::from_millis(4_900));
+    scene.fleet.tell(MediaOrder::ReturnRestarted(died));
+    scene.play(Duration::from_secs(14));
+    scene.terminate_and_kill();
+    scene.play(Duration::from_millis(8_500));
+    scene.end_and_judge();
+}
