--- a/daemon/tests/many_servers/scene.rs
+++ b/daemon/tests/many_servers/scene.rs
@@ -106,6 +106,17 @@
         std::thread::sleep(span);
     }
 
+    /// The same, while clients go on to use the connections that are open.
+    pub fn terminate_and_kill_under_load(&mut self) {
+        self.manager.signal(Signal::TERM);
+        self.events.push(ManagerEvent::Terminated { at: Instant::now(), manager: 0 });
+        self.callers.tell(CallerOrder::OpenConnectionsOnly { manager: 0 });
+        std::thread::sleep(PATIENCE + Duration::from_millis(700));
+        self.callers.tell(CallerOrder::Stop { manager: 0 });
+        self.manager.kill();
+        self.events.push(ManagerEvent::Killed { at: Instant::now(), manager: 0 });
+    }
+
     /// SIGTERM, and SIGKILL as early as the platform may send it.
     pub fn terminate_and_kill(&mut self) {
         self.callers.tell(CallerOrder::Stop { manager: 0 });
@@ -124,6 +135,7 @@
             classes: vec![Class::Idempotent],
             drain_grace: Duration::from_secs(1),
             closed_from: Vec::new(),
+            cut_off: Vec::new(),
         };
         let (clients, servers) = (self.callers.log().events(), self.fleet.log().events());
         let requests = clients.len();
--- a/fake-servers/src/media/connection.rs
+++ b/fake-servers/src/media/connection.rs
@@ -68,9 +68,7 @@
             return;
         };
         match turn {
-            Turn::Lines(lines) => {
-                lines.iter().for_each(|line| server.borrow_mut().take_line(number, line));
-            }
+            Turn::Lines(lines) => server.borrow_mut().take_lines(number, &lines),
             Turn::Closed => return server.borrow_mut().connection_closed(number),
             Turn::Reset => {
                 _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
@@ -100,15 +98,23 @@
             Poll::Pending => break,
         }
     }
+    let before = input.len();
     let mut piece = [0; PIECE];
-    match Pin::new(stream).poll_read(cx, &mut piece) {
-        Poll::Pending => Poll::Pending,
-        Poll::Ready(_) if output.condition == Condition::Forgotten => Poll::Ready(Turn::Reset),
-        Poll::Ready(Ok(0) | Err(_)) => Poll::Ready(Turn::Closed),
-        Poll::Ready(Ok(count)) => {
-            input.extend_from_slice(&piece[..count]);
-            Poll::Ready(Turn::Lines(take_lines(input)))
+    // All that has come is read in one turn.
+    let end = loop {
+        match Pin::new(&mut *stream).poll_read(cx, &mut piece) {
+            Poll::Pending => break None,
+            Poll::Ready(_) if output.condition == Condition::Forgotten => break Some(Turn::Reset),
+            Poll::Ready(Ok(0) | Err(_)) => break Some(Turn::Closed),
+            Poll::Ready(Ok(count)) => input.extend_from_slice(&piece[..count]),
         }
+    };
+    match end {
+        Some(Turn::Reset) => Poll::Ready(Turn::Reset),
+        // An end is read again in the next turn.
+        _ if input.len() > before => Poll::Ready(Turn::Lines(take_lines(input))),
+        Some(end) => Poll::Ready(end),
+        None => Poll::Pending,
     }
 }
 
--- a/fake-servers/src/media/server.rs
+++ b/fake-servers/src/media/server.rs
@@ -108,10 +108,18 @@
         self.connections.remove(&number);
     }
 
-    pub fn take_line(&mut self, connection: u64, line: &str) {
-        let Ok(line) = serde_json::from_str::<Value>(line) else {
-            return;
-        };
+    /// What was given up by the time it is read does not begin: a machine that was cut off reads both at once.
+    pub fn take_lines(&mut self, connection: u64, lines: &[String]) {
+        let lines: Vec<Value> = lines.iter().filter_map(|line| serde_json::from_str(line).ok()).collect();
+        for (at, line) in lines.iter().enumerate() {
+            let given_up = |later: &Value| later["verb"] == "FINISH" && later["tag"] == line["tag"];
+            if line["verb"] != "START" || !lines[at + 1..].iter().any(given_up) {
+                self.take_line(connection, line);
+            }
+        }
+    }
+
+    fn take_line(&mut self, connection: u64, line: &Value) {
         let tag = line["tag"].as_str().unwrap_or("").to_string();
         match line["verb"].as_str() {
             Some("START") => self.begin(connection, tag),
--- a/invariants/src/platform/trace.rs
+++ b/invariants/src/platform/trace.rs
@@ -70,6 +70,8 @@
     pub drain_grace: Duration,
     /// From when on each server may get no more attempts, its grace included: the server and the moment.
     pub closed_from: Vec<(usize, Instant)>,
+    /// Servers that were cut off, from when until when.
+    pub cut_off: Vec<(usize, Instant, Instant)>,
 }
 
 /// All that a trial leaves for its judge.
