Review case 3 is now the listed fault: seats are exceeded after servers were cut off

It takes the place of the case of a bad client, which stays as a driver of the stand-ins and in the list. Test: review/3/run.sh.

Nothing is fixed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod json;
 mod manager;
 mod record;
+mod seats;
 mod server;
 mod slow_channel;
 mod stops_short;
@@ -36,6 +37,7 @@
         "slow-channel" => slow_channel::run(trouble, &record),
         "taken-back" => taken_back::run(trouble, &record),
         "stops-short" => stops_short::run(trouble, &record),
+        "seats" => seats::run(trouble, &record),
         _ => cannot_run("no such case"),
     };
     std::process::exit(match verdict {
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -1,6 +1,9 @@
 //! A video server: takes set-ups, answers them, and lets sessions play to their end.
 //! JSON lines as PROTOCOL.md has them.
 
+mod reach;
+mod types;
+
 use crate::json;
 use crate::record::Record;
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,33 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-
-/// How a server treats set-ups.
-#[derive(Clone, Copy)]
-pub struct Manner {
-    /// From the set-up to its answer.
-    pub answers_after: Duration,
-    /// From the answer to the end of the session, which the server then releases with cause 16.
-    pub plays_for: Duration,
-    /// The same in the class `live-audition`.
-    pub live_plays_for: Duration,
-    /// Of so many answers one stops short: its connection stays open and is of no further use. 0: none does.
-    pub one_stops_short_of: usize,
-}
-
-/// A set-up that came whole.
-#[derive(Clone)]
-pub struct SetUp {
-    pub at: f64,
-    pub tag: String,
-}
-
-/// A session that came to its end.
-#[derive(Clone)]
-pub struct Ended {
-    pub at: f64,
-    pub tag: String,
-}
+pub use types::{Ended, Manner, SetUp};
 
 struct Playing {
     live: bool,
@@ -46,6 +23,10 @@
 #[derive(Default)]
 struct State {
     draining: bool,
+    /// Cut off: nothing gets through in either direction, and nothing is lost.
+    cut: bool,
+    held: Vec<(u64, String)>,
+    fillers: Vec<SocketAddr>,
     next_connection: u64,
     /// Answers since the last one that stopped short.
     answers: usize,
@@ -65,6 +46,7 @@
     pub address: SocketAddr,
     manner: Manner,
     record: Record,
+    listener: Arc<TcpListener>,
     state: Arc<Mutex<State>>,
 }
 
@@ -75,8 +57,9 @@
             TcpListener::bind((ip, 0)).unwrap_or_else(|error| crate::cannot_run(&error.to_string()));
         let address = listener.local_addr().unwrap_or_else(|error| crate::cannot_run(&error.to_string()));
         let state = Arc::new(Mutex::new(State::default()));
-        let server = Server { id: id.into(), address, manner, record: record.clone(), state };
-        server.live(listener);
+        let (listener, record) = (Arc::new(listener), record.clone());
+        let server = Server { id: id.into(), address, manner, record, listener, state };
+        server.live();
         server
     }
 
@@ -97,9 +80,22 @@
         self.state().ended.clone()
     }
 
-    fn live(&self, listener: TcpListener) {
+    /// Number of sessions that stand here.
+    pub fn standing(&self) -> usize {
+        self.state().playing.len()
+    }
+
+    fn live(&self) {
         let accepting = self.clone();
-        thread::spawn(move || listener.incoming().flatten().for_each(|stream| accepting.serve(stream)));
+        thread::spawn(move || {
+            for stream in accepting.listener.incoming().flatten() {
+                accepting.wait_while_cut_off();
+                let from = stream.peer_addr();
+                if from.is_ok_and(|from| !accepting.state().fillers.contains(&from)) {
+                    accepting.serve(stream);
+                }
+            }
+        });
         let ending = self.clone();
         thread::spawn(move || loop {
             ending.run_due();
@@ -126,8 +122,10 @@
         thread::spawn(move || {
             for line in BufReader::new(reading).lines() {
                 let Ok(line) = line else { break };
+                server.wait_while_cut_off();
                 server.handle(id, &line);
             }
+            server.wait_while_cut_off();
             // Closing a connection gives up the set-ups that are open on it.
             let mut state = server.state();
             state.connections.remove(&id);
@@ -226,7 +224,9 @@
     }
 
     fn send(&self, state: &mut State, connection: u64, line: &str) {
-        if state.useless.contains(&connection) {
+        if state.cut {
+            state.held.push((connection, line.into()));
+        } else if state.useless.contains(&connection) {
             self.record.note(&self.id, &format!("does not arrive on connection {connection}: {line}"));
         } else if let Some(stream) = state.connections.get_mut(&connection) {
             _ = stream.write_all(line.as_bytes());
