--- a/review/standins/src/seats.rs
+++ b/review/standins/src/seats.rs
@@ -14,7 +14,8 @@
 /// The first of these hold the title; two of them are cut off.
 const HOLDERS: usize = 4;
 const CUT_OFF: usize = SERVERS / 5;
-const SILENT_FOR: Duration = Duration::from_secs(6);
+/// The pages have 6 s; what it takes to let go again stays within that.
+const SILENT_FOR: Duration = Duration::from_millis(5_900);
 const SEATS: u64 = 12;
 const PATIENCE_MS: u64 = 3_000;
 /// After a break a viewer comes again this much later, all but each sixth.
--- a/review/standins/src/server/reach.rs
+++ b/review/standins/src/server/reach.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 extern "C" {
     fn listen(fd: i32, backlog: i32) -> i32;
@@ -50,11 +50,12 @@
 impl Server {
     /// Cuts the machine off for this time: it is silent, and new connections never come up.
     pub fn cut_off(&self, time: Duration) {
+        let began = Instant::now();
         self.state().cut = true;
         let mut fillers = Fillers::fill(&self.listener, self.address);
         self.state().fillers = fillers.addresses();
         self.record.note(&self.id, "is cut off");
-        thread::sleep(time);
+        thread::sleep(time.saturating_sub(began.elapsed()));
         fillers.end(&self.listener);
         let mut state = self.state();
         state.cut = false;
