--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,8 @@
 
 mod channel;
 mod client;
+mod door;
+mod few_connections;
 mod json;
 mod manager;
 mod record;
@@ -34,6 +36,7 @@
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
     record.tell(if trouble { "with the disruption" } else { "without the disruption (TROUBLE=0)" });
     let verdict = match case.as_str() {
+        "few-connections" => few_connections::run(trouble, &record),
         "slow-channel" => slow_channel::run(trouble, &record),
         "taken-back" => taken_back::run(trouble, &record),
         "stops-short" => stops_short::run(trouble, &record),
--- a/review/standins/src/server/types.rs
+++ b/review/standins/src/server/types.rs
@@ -28,3 +28,11 @@
     pub at: f64,
     pub tag: String,
 }
+
+impl super::Server {
+    /// Number of these sessions that stand here or are being set up.
+    pub fn standing_of(&self, sessions: &std::collections::BTreeSet<String>) -> usize {
+        let state = self.state();
+        state.playing.keys().chain(state.waiting.keys()).filter(|tag| sessions.contains(*tag)).count()
+    }
+}
