--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -85,6 +85,13 @@
         false
     }
 
+    /// Whether an answer to this set-up has come.
+    pub fn has_answer(&self, session: &str) -> bool {
+        self.messages.lock().is_ok_and(|messages| {
+            messages.iter().any(|message| message.session == session && message.status().is_some())
+        })
+    }
+
     pub fn messages(&self) -> Vec<Message> {
         self.messages.lock().map(|messages| messages.clone()).unwrap_or_default()
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,6 +11,7 @@
 mod seats;
 mod server;
 mod slow_channel;
+mod stalls;
 mod stops_short;
 mod taken_back;
 
@@ -37,6 +38,7 @@
     record.tell(if trouble { "with the disruption" } else { "without the disruption (TROUBLE=0)" });
     let verdict = match case.as_str() {
         "few-connections" => few_connections::run(trouble, &record),
+        "stalls" => stalls::run(trouble, &record),
         "slow-channel" => slow_channel::run(trouble, &record),
         "taken-back" => taken_back::run(trouble, &record),
         "stops-short" => stops_short::run(trouble, &record),
--- a/review/standins/src/manager.rs
+++ b/review/standins/src/manager.rs
@@ -20,10 +20,13 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 
 extern "C" {
     /// Here: the manager is killed if this process ends without having ended it.
     fn prctl(option: i32, signal: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// A class of set-ups.
@@ -78,6 +81,13 @@
         Manager { address, process, folder }
     }
 
+    /// The process stands still from now on, or goes on.
+    pub fn stand_still(&self, still: bool, record: &Record) {
+        record.note("manager", if still { "stands still" } else { "goes on" });
+        // SAFETY: the process was started here and is not yet waited for.
+        unsafe { kill(self.process.id() as i32, if still { SIGSTOP } else { SIGCONT }) };
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.process.try_wait(), Ok(None))
