--- a/review/standins/src/silent.rs
+++ b/review/standins/src/silent.rs
@@ -14,13 +14,13 @@
 const SILENT: usize = SERVERS / 5;
 /// Set-ups come for so long, some at once.
 const TRAFFIC_MS: f64 = 30_000.0;
-const AT_ONCE: usize = 40;
+const AT_ONCE: usize = 60;
 const PATIENCE_MS: u64 = 4_000;
 const NOTES_EVERY: Duration = Duration::from_secs(3);
 const PACE: Duration = Duration::from_millis(1_000);
 /// The servers fall silent so long after the last set-up, for so long; the pages have 6 s.
-const SILENT_AFTER_MS: f64 = 4_030.0;
-const SILENT_FOR: Duration = Duration::from_millis(2_450);
+const SILENT_AFTER_MS: f64 = 4_100.0;
+const SILENT_FOR: Duration = Duration::from_millis(2_380);
 const END_MS: f64 = 56_000.0;
 /// The longest that a client may take to hear of the end of its session, where no release could be sent (8 s), and
 /// what all time limits are longer on sockets.
