--- a/daemon/src/node/connection_tasks.rs
+++ b/daemon/src/node/connection_tasks.rs
@@ -68,7 +68,8 @@
             let lingering = hub.sockets.borrow().lingering.clone();
             match run_connection(stream, &output, on_received, SERVER_LINGER, &lingering).await {
                 Ending::Closed => ConnectionLoss::Closed,
-                Ending::Broken | Ending::ClosedHere => ConnectionLoss::Reset,
+                Ending::Broken => ConnectionLoss::Reset,
+                Ending::ClosedHere => ConnectionLoss::ClosedHere,
             }
         }
         Err(loss) => loss,
