Node: only the server's own close shows that a connection was read to its end

Cause: a server writes a release on the connection of the set-up while it takes that for open, and once more on the next connection that it accepts. The manager closed an idle connection from its side, dropped it after 1 s without the server's close, and took it for read to its end. What the server wrote on it after the silence was answered by a reset, and no connection was opened on which it could be repeated.

Now a connection counts as read to its end only if the server closed it and no answer is missing on it; all others are replaced by one opened after the loss.

Tests, before the fix: all four of event_races closing:: and ten of thirteen of platform closing:: fail.

--- a/daemon/src/node/connection_io.rs
+++ b/daemon/src/node/connection_io.rs
@@ -13,8 +13,6 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum number of reads in a row before other tasks have their turn.
 const CHUNKS_PER_TURN: usize = 4;
-/// Time to wait for the other side to close after this side has closed.
-const HALF_CLOSE_WAIT: Duration = Duration::from_millis(1_000);
 
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +21,7 @@
     Closed,
     /// The connection broke.
     Broken,
-    /// This side closed it, and the other side did not close in time or was not waited for.
+    /// This side closed it, and the other side was not waited for.
     ClosedHere,
 }
 
@@ -48,9 +46,9 @@
     let mut buffer = vec![0u8; CHUNK_BYTES];
     let ending =
         poll_fn(|context| poll_turn(&mut stream, output, &mut buffer, &mut on_received, context)).await;
-    let (half_closed, overrun) = (output.borrow().half_closed, output.borrow().overrun);
-    if half_closed && !overrun {
-        return read_until_closed(stream, &mut buffer, &mut on_received).await;
+    let half_closed = output.borrow().half_closed;
+    if half_closed && ending == Ending::ClosedHere {
+        return read_until_closed(stream, output, &mut buffer, &mut on_received).await;
     }
     // The remaining output is written, and further input is read and dropped: a close with unread input would
     // send a reset, which may overtake the final bytes.
@@ -131,9 +129,10 @@
     }
 }
 
-/// Closes this side, and reports further input until the other side closes, for a limited time.
+/// Closes this side, and reports further input until the other side closes or the connection is abandoned.
 async fn read_until_closed(
     mut stream: Stream,
+    output: &SharedOutput,
     buffer: &mut [u8],
     on_received: &mut impl FnMut(Received),
 ) -> Ending {
@@ -147,11 +146,15 @@
             }
         }
     };
-    futures_lite::future::or(read_all, async {
-        Timer::after(HALF_CLOSE_WAIT).await;
-        Ending::ClosedHere
-    })
-    .await
+    let abandoned = poll_fn(|context| {
+        let mut output = output.borrow_mut();
+        if output.abandoned {
+            return Poll::Ready(Ending::ClosedHere);
+        }
+        output.waker = Some(context.waker().clone());
+        Poll::Pending
+    });
+    futures_lite::future::or(read_all, abandoned).await
 }
 
 /// Writes the remaining output, closes this side, and drops further input until the other side closes.
@@ -220,6 +223,9 @@
         }
     }
     output.bytes.drain(..sent);
+    if output.abandoned && !output.bytes.is_empty() {
+        return WriteResult::Broken;
+    }
     if output.bytes.is_empty() && output.closing {
         return WriteResult::Finished;
     }
--- a/daemon/src/node/output.rs
+++ b/daemon/src/node/output.rs
@@ -21,6 +21,8 @@
     pub overrun: bool,
     /// Input is still handled after this side has closed.
     pub half_closed: bool,
+    /// The connection was closed for good after it had been half closed: it ends at once.
+    pub abandoned: bool,
     /// Bytes were written, which a reset could overtake.
     pub has_written: bool,
     /// Wakes the connection's task when there is output.
@@ -79,6 +81,8 @@
             output.upgrade().is_some_and(|output| !output.borrow().bytes.is_empty())
         };
         self.closing.retain(is_unsent);
+        let half_closed = output.borrow().half_closed;
+        output.borrow_mut().abandoned = half_closed;
         if !output.borrow().bytes.is_empty() {
             self.closing.push(Rc::downgrade(&output));
         }
@@ -115,8 +119,9 @@
 
     fn half_close(&mut self, connection: ConnectionId) {
         if let Some(output) = self.outputs.get(&connection) {
-            output.borrow_mut().half_closed = true;
+            let mut buffer = output.borrow_mut();
+            (buffer.half_closed, buffer.closing) = (true, true);
+            buffer.waker.take().into_iter().for_each(Waker::wake);
         }
-        self.close(connection);
     }
 }
--- a/daemon/tests/event_races/main.rs
+++ b/daemon/tests/event_races/main.rs
@@ -6,6 +6,7 @@
 mod bad_configuration;
 mod bad_input;
 mod clients;
+mod closing;
 mod descriptors;
 mod extra;
 mod floods;
