--- a/daemon/tests/event_races/closing.rs
+++ b/daemon/tests/event_races/closing.rs
@@ -146,3 +146,17 @@
     all.server.read_again();
     all.end_is_heard(accepted);
 }
+
+/// Guards against: a release towards the server is lost with its connection, and the session plays on there though
+/// its client ended it.
+#[test]
+fn a_release_that_its_server_did_not_read_before_a_reset_is_sent_again() {
+    let mut all = TwoSessions::start();
+    all.server.stop_reading();
+    all.client.tear_down(&all.first);
+    assert!(all.client.passes_test(), "the node has read the end");
+    all.server.connections().into_iter().for_each(|connection| all.server.reset(connection));
+    all.server.read_again();
+    let released = within(Duration::from_millis(1_050), || all.server.count("FINISH", &all.first) > 0);
+    assert!(released, "{}", all.node.log());
+}
