Node: a manager that ends tries silent servers once more for the releases they are owed

Its server was cut off from 11.791 to 14.940 s, given up at 14.850 s, and its manager, told to end at 12.202 s, ended at 15.2 s, before the next try at 15.85 s.

Tests: platform a_manager_that_ends_tries_silent_servers_once_more (before: no connection is opened; the check of connections that come up is new).

--- a/daemon/src/node/shutdown.rs
+++ b/daemon/src/node/shutdown.rs
@@ -20,6 +20,8 @@
 const MAX_FLUSH_TIME: Duration = Duration::from_millis(1_000);
 /// Sessions at servers without a connection are released from this time before the end on.
 const RELEASE_PERIOD: Ms = Ms(1_000.0);
+/// Time for a last try of servers that could not be reached: some may be back.
+const SILENT_SERVER_TIME: Ms = Ms(150.0);
 /// Interval of the checks while open requests are still served.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of the checks while the remaining output is written.
@@ -80,8 +82,14 @@
 /// Waits until all output is written or slow readers have had their time. Releases may wait for connections
 /// to their servers.
 async fn flush(hub: &Hub) {
+    let started_at = hub.now();
+    let is_pending = || {
+        let tries_silent = hub.now() - started_at < SILENT_SERVER_TIME;
+        let node = hub.node.borrow();
+        node.has_pending_releases() || (tries_silent && node.has_releases_connecting())
+    };
     let written = async {
-        while !hub.sockets.borrow().all_written() || hub.node.borrow().has_pending_releases() {
+        while !hub.sockets.borrow().all_written() || is_pending() {
             Timer::after(FLUSH_CHECK_INTERVAL).await;
             hub.with_node(|node, now, sockets| node.send_pending_releases(now, sockets));
         }
