Register: a closed store is unlocked although a process is being started beside it

Cause: the lock belongs to the open file, and a process that is forked holds a copy of its descriptor until it runs its own program. Store::create and the drop of a store closed the file and left the lock to that copy.

Now the lock is a value that unlocks the file when it is dropped, in the store after the database.

The regression test a_closed_store_is_not_locked_by_a_process_that_is_being_started starts a process that waits 0.5 s between fork and exec.

--- a/register/src/file.rs
+++ b/register/src/file.rs
@@ -50,12 +50,29 @@
     Ok(Header::Version(version))
 }
 
-/// Tries to lock the file for this process alone. The lock ends with the open file, also after a crash.
-pub(crate) fn try_lock(file: &File) -> Result<bool> {
-    match file.try_lock() {
-        Ok(()) => Ok(true),
-        Err(TryLockError::WouldBlock) => Ok(false),
-        Err(TryLockError::Error(error)) => Err(error),
+/// The lock on a file for this process alone. It ends with this value, or with the process.
+///
+/// Closing the file alone would not end it: a process that is being started holds a copy of each descriptor until it
+/// runs its own program.
+#[derive(Debug)]
+pub(crate) struct FileLock(File);
+
+impl FileLock {
+    /// Locks the file; returns `None` if another process or another open file has locked it.
+    pub(crate) fn try_new(file: &File) -> Result<Option<FileLock>> {
+        let lock = FileLock(file.try_clone()?);
+        match lock.0.try_lock() {
+            Ok(()) => Ok(Some(lock)),
+            Err(TryLockError::WouldBlock) => Ok(None),
+            Err(TryLockError::Error(error)) => Err(error),
+        }
+    }
+}
+
+impl Drop for FileLock {
+    fn drop(&mut self) {
+        // The lock ends with the last copy of the descriptor in any case.
+        _ = self.0.unlock();
     }
 }
 
--- a/register/src/store.rs
+++ b/register/src/store.rs
@@ -12,7 +12,7 @@
 
 use crate::codec;
 use crate::errors::RegisterError;
-use crate::file::{self, FileBehindHeader, Header, WriteCounters, HEADER_BYTES, VERSION};
+use crate::file::{self, FileBehindHeader, FileLock, Header, WriteCounters, HEADER_BYTES, VERSION};
 
 /// The only table: encoded keys and checksummed bodies.
 pub(crate) const RECORDS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("records");
@@ -25,6 +25,8 @@
     path: PathBuf,
     pub(crate) database: Database,
     counters: Arc<WriteCounters>,
+    /// Dropped after the database, which writes when it is closed.
+    _lock: FileLock,
 }
 
 impl Store {
@@ -39,9 +41,9 @@
             create(path, new_generation)?;
         }
         let disk = OpenOptions::new().read(true).write(true).open(path).map_err(io)?;
-        if !file::try_lock(&disk).map_err(io)? {
+        let Some(lock) = FileLock::try_new(&disk).map_err(io)? else {
             return Err(RegisterError::Locked { path: path.to_owned() });
-        }
+        };
         let found = match file::read_header(&disk).map_err(io)? {
             Header::NotCouncilFile => return Err(RegisterError::NotCouncilFile { path: path.to_owned() }),
             Header::Damaged | Header::Version(0) => {
@@ -53,7 +55,7 @@
             return Err(RegisterError::NewerVersion { path: path.to_owned(), found, known: VERSION });
         }
         let header_file = disk.try_clone().map_err(io)?;
-        let store = Store::with_file(path, disk)?;
+        let store = Store::with_file(path, disk, lock)?;
         if found < VERSION {
             store.migrate()?;
             header_file
@@ -65,13 +67,13 @@
         Ok((store, stored))
     }
 
-    fn with_file(path: &Path, disk: File) -> Result<Store, RegisterError> {
+    fn with_file(path: &Path, disk: File, lock: FileLock) -> Result<Store, RegisterError> {
         if disk.metadata().map_or(0, |data| data.len()) <= HEADER_BYTES {
             return Err(damaged(path, "it ends after its header"));
         }
         let counters = Arc::new(WriteCounters::default());
         let database = open_database(path, FileBehindHeader { file: disk, counters: Arc::clone(&counters) })?;
-        Ok(Store { path: path.to_owned(), database, counters })
+        Ok(Store { path: path.to_owned(), database, counters, _lock: lock })
     }
 
     /// Writes all of these records or none, in one synced transaction; once it returns they survive a power cut.
@@ -190,9 +192,9 @@
         .open(&temporary)
         .map_err(io)?;
     // If two processes start at once, the second must not rename its temporary file over the first one's open file.
-    if !file::try_lock(&disk).map_err(io)? {
+    let Some(_lock) = FileLock::try_new(&disk).map_err(io)? else {
         return Err(RegisterError::Locked { path: path.to_owned() });
-    }
+    };
     if path.try_exists().map_err(io)? {
         return Ok(());
     }
--- a/register/src/tests/open_and_write.rs
+++ b/register/src/tests/open_and_write.rs
@@ -1,14 +1,18 @@
 //! Opening, writing and reopening a store, and the files that it refuses.
 
 use std::fs;
+use std::io::{Read, Write};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
 
 use ottersail_consensus::{Record, StoreGeneration, StoreGenerations, StoredState};
 use ottersail_membership::MemberId;
 use test_case::test_case;
 
 use super::*;
-use crate::file::{self, VERSION};
+use crate::file::{self, FileLock, VERSION};
 use crate::store::RECORDS;
 use crate::{codec, RegisterError, Store};
 
@@ -69,15 +73,46 @@
     assert!(Store::open(&path, NEW_GENERATION).is_ok());
 }
 
+/// Guards against: a store that was closed, or has just been created, counts as locked while another process is
+/// being started, since that holds copies of all descriptors until it runs its own program.
+#[test]
+fn a_closed_store_is_not_locked_by_a_process_that_is_being_started() {
+    let folder = folder();
+    let path = folder.path().join("council");
+    let (store, _) = Store::open(&path, NEW_GENERATION).unwrap();
+    let starting = start_slowly();
+    drop(store);
+    assert!(Store::open(&path, NEW_GENERATION).is_ok());
+    starting.join().unwrap();
+}
+
+/// Starts a process that holds its copies of this process's descriptors for a while; returns once it has them.
+fn start_slowly() -> std::thread::JoinHandle<()> {
+    let (mut forked, told) = std::io::pipe().unwrap();
+    let starting = std::thread::spawn(move || {
+        let mut command = Command::new("true");
+        let tell_and_wait = move || {
+            (&told).write_all(b"f")?;
+            std::thread::sleep(Duration::from_millis(500));
+            Ok(())
+        };
+        // SAFETY: the closure only writes to a pipe and sleeps, and allocates nothing.
+        unsafe { command.pre_exec(tell_and_wait) };
+        assert!(command.status().unwrap().success());
+    });
+    forked.read_exact(&mut [0]).unwrap();
+    starting
+}
+
 #[test]
 fn store_being_created_is_not_created_twice() {
     let folder = folder();
     let path = folder.path().join("council");
     let temporary = fs::File::create(folder.path().join("council.new")).unwrap();
-    assert!(file::try_lock(&temporary).unwrap());
+    let lock = FileLock::try_new(&temporary).unwrap().unwrap();
     assert!(matches!(Store::open(&path, NEW_GENERATION), Err(RegisterError::Locked { .. })));
     assert!(!path.exists());
-    drop(temporary);
+    drop(lock);
     assert!(Store::open(&path, NEW_GENERATION).is_ok());
 }
 
