--- a/fake-servers/src/media/tests.rs
+++ b/fake-servers/src/media/tests.rs
@@ -1,3 +1,4 @@
+use super::listening::{listen, Unreachable};
 use super::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ottersail_invariants::platform::{End, ServerEvent};
@@ -105,3 +106,15 @@
     }
     assert!(again > 0, "{seen:?}");
 }
+
+/// Guards against: a server that was cut off can't listen again while another process is being started, which holds
+/// a copy of the descriptor of its old listener until it runs its own program.
+#[test]
+fn an_address_can_be_listened_at_again_though_a_copy_of_the_listener_is_left() {
+    let network = LoopbackNetwork::claim().unwrap();
+    let unreachable = Unreachable::at(network.server(0)).unwrap();
+    let copy = unreachable.listener.try_clone().unwrap();
+    drop(unreachable);
+    listen(network.server(0)).unwrap();
+    drop(copy);
+}
