Node: a command channel that is slow to answer is followed

Cause: each request to the channel was dropped 1.3 s after it was sent, and the next one as well, so that a channel which takes longer for each answer was never heard.

Now a request without an answer in time is heard on, for 5 s, while the channel is asked again; two such requests at the most, so the channel is asked no more often than before. A late answer counts only if it has news. The two descriptors come out of the eight in reserve.

Tests: event_races list::watch::a_channel_that_takes_over_two_seconds_for_each_answer_is_followed failed before ('never: event 2 taken').

--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -7,6 +7,7 @@
 mod connection_tasks;
 mod figures;
 mod hub;
+mod late_requests;
 mod lingering;
 mod output;
 mod shutdown;
--- a/daemon/tests/event_races/harness/channel.rs
+++ b/daemon/tests/event_races/harness/channel.rs
@@ -114,6 +114,15 @@
         }
     }
 
+    /// Sends the second half that was held for longest.
+    pub fn send_oldest_second_half(&self) {
+        let mut state = self.state();
+        if !state.halves.is_empty() {
+            let (connection, bytes) = state.halves.remove(0);
+            state.send(connection, &bytes);
+        }
+    }
+
     /// First halves that went out, and whose second halves are held.
     pub fn halves_held(&self) -> usize {
         self.state().halves.len()
--- a/daemon/tests/event_races/list/watch.rs
+++ b/daemon/tests/event_races/list/watch.rs
@@ -62,3 +62,20 @@
     let middle = gaps[gaps.len() * 3 / 4] - gaps[gaps.len() / 4];
     assert!(middle > took / 24 / 10, "{gaps:?}");
 }
+
+/// Guards against: a channel whose every answer takes over two seconds is never heard, since each request is given
+/// up before its answer is whole, so that set-ups go on to a server that drains.
+#[test]
+fn a_channel_that_takes_over_two_seconds_for_each_answer_is_followed() {
+    let servers = Pair::start();
+    let (node, channel) = start(&servers, "ready", "ready");
+    channel.always(&Answer::Half);
+    channel.tell(2, &servers.first("draining"));
+    let told_at = Instant::now();
+    wait_until("an answer is on its way", || channel.halves_held() > 0);
+    std::thread::sleep(Duration::from_millis(2_400));
+    channel.send_oldest_second_half();
+    channel.wait_taken(2);
+    assert!(told_at.elapsed() < Duration::from_secs(6), "{:?}", told_at.elapsed());
+    servers.all_go_to_the_second(&node);
+}
