Node test: a connection closed between two looks is no unknown socket

Traced with a second look on failure: descriptor 16 was gone by then. The test read the descriptors, then the tables; a connection of the program (its first test's) was closed in between. The test was wrong, not the program.

Now a socket counts only if it is open before and after the tables are read.

--- a/daemon/tests/node/main.rs
+++ b/daemon/tests/node/main.rs
@@ -31,9 +31,11 @@
         let children = std::fs::read_to_string(task.path().join("children")).unwrap();
         assert_eq!(children.trim(), "", "no child processes");
     }
-    let files = std::fs::read_dir(proc.join("fd")).unwrap().flatten();
-    let open: Vec<String> =
-        files.filter_map(|it| Some(std::fs::read_link(it.path()).ok()?.display().to_string())).collect();
+    let open_files = || -> Vec<String> {
+        let files = std::fs::read_dir(proc.join("fd")).unwrap().flatten();
+        files.filter_map(|it| Some(std::fs::read_link(it.path()).ok()?.display().to_string())).collect()
+    };
+    let open = open_files();
     assert!(!open.iter().any(|it| it.contains("io_uring")), "{open:?}");
     let inodes: std::collections::BTreeSet<&str> =
         open.iter().filter_map(|it| it.strip_prefix("socket:[")?.strip_suffix(']')).collect();
@@ -52,7 +54,11 @@
         tasks.filter_map(|it| std::fs::read_to_string(it.path().join("comm")).ok()).collect();
     // Its own, and the one by which signals are heard.
     assert_eq!((ours, threads), (0, vec!["ottersail\n".into(), "async-io\n".into()]));
-    let other: Vec<&&str> = inodes.iter().filter(|it| !tcp.iter().any(|tcp| tcp == **it)).collect();
+    // A connection may be closed between the look at the descriptors and the one at the table.
+    let still_open = open_files();
+    let is_open = |inode: &str| still_open.iter().any(|file| *file == format!("socket:[{inode}]"));
+    let other: Vec<&&str> =
+        inodes.iter().filter(|it| !tcp.iter().any(|tcp| tcp == **it) && is_open(it)).collect();
     // The pair by which the signals' handler wakes the program: both ends are its own, and neither has a
     // name.
     let unix = table("unix", 6);
