--- a/review/stand-ins-2/src/bin/case_hang.rs
+++ b/review/stand-ins-2/src/bin/case_hang.rs
@@ -3,7 +3,7 @@
 use stand_ins_2::channel::Channel;
 use stand_ins_2::manager::{free_address, Manager};
 use stand_ins_2::record::{finish, give_up, Record};
-use stand_ins_2::server::{Mood, Server};
+use stand_ins_2::server::Server;
 use stand_ins_2::settings::host;
 use stand_ins_2::sites::pedal_clips;
 use stand_ins_2::viewer::{SetUp, Viewers};
@@ -24,7 +24,7 @@
 fn main() {
     let record = Record::create();
     let channel = Channel::start(&record);
-    let start = |number: usize| Server::start(&record, &format!("s-{number:08x}"), number % CELLS, Mood::Well(50));
+    let start = |number: usize| Server::start(&record, &format!("s-{number:08x}"), number % CELLS, 50);
     let servers: Vec<Arc<Server>> = (0..SERVERS).map(start).collect();
     let line = |server: &Arc<Server>| host(&server.id(), server.address, server.cell, "ready", 0.0);
     channel.tell(true, &servers.iter().map(line).collect::<Vec<_>>());
--- a/review/stand-ins-2/src/channel.rs
+++ b/review/stand-ins-2/src/channel.rs
@@ -32,19 +32,6 @@
         channel
     }
 
-    /// A second address at which the same events are told.
-    pub fn twin(self: &Arc<Channel>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&error.to_string()));
-        let (address, channel) = (listener.local_addr().unwrap(), self.clone());
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let channel = channel.clone();
-                std::thread::spawn(move || channel.serve(stream));
-            }
-        });
-        address
-    }
-
     /// Adds an event with these hosts (JSON objects), which counts as told from now on. Returns when.
     pub fn tell(&self, whole: bool, hosts: &[String]) -> f64 {
         let mut state = self.state.lock().unwrap();
--- a/review/stand-ins-2/src/json.rs
+++ b/review/stand-ins-2/src/json.rs
@@ -13,11 +13,3 @@
     })?;
     Some(line[start..start + end].to_string())
 }
-
-/// A number field.
-pub fn number(line: &str, name: &str) -> Option<i64> {
-    let key = format!("\"{name}\":");
-    let start = line.find(&key)? + key.len();
-    let digits = |char: &char| char.is_ascii_digit() || *char == '-';
-    line[start..].chars().take_while(digits).collect::<String>().parse().ok()
-}
--- a/review/stand-ins-2/src/manager.rs
+++ b/review/stand-ins-2/src/manager.rs
@@ -12,7 +12,6 @@
 pub struct Manager {
     pub address: SocketAddr,
     child: Child,
-    folder: PathBuf,
     record: Record,
 }
 
@@ -58,7 +57,7 @@
             .stderr(log);
         let child = sys::start(&mut command);
         let child = child.unwrap_or_else(|error| give_up(&error.to_string()));
-        let manager = Manager { address, child, folder, record: record.clone() };
+        let manager = Manager { address, child, record: record.clone() };
         record.line(&format!("manager {name}: started"));
         manager
     }
@@ -94,24 +93,6 @@
         sys::forget(self.child.id());
         Some(status.to_string())
     }
-
-    /// Waits for the end of the process, for a time at most.
-    pub fn wait_end(&mut self, most_ms: u64) -> bool {
-        for _ in 0..most_ms / 5 {
-            if self.ended().is_some() {
-                return true;
-            }
-            crate::sleep_ms(5);
-        }
-        false
-    }
-
-    /// Replaces the configuration file atomically.
-    pub fn write_config(&self, config: &str) {
-        let next = self.folder.join("next.json");
-        let written = std::fs::write(&next, config);
-        _ = written.and_then(|()| std::fs::rename(&next, self.folder.join("config.json")));
-    }
 }
 
 impl Drop for Manager {
--- a/review/stand-ins-2/src/server.rs
+++ b/review/stand-ins-2/src/server.rs
@@ -17,32 +17,12 @@
 pub struct Start {
     pub at: f64,
     pub session: String,
-    pub title: String,
-    pub rung: Option<usize>,
-}
-
-/// How the server treats set-ups.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mood {
-    /// Answers after this many milliseconds.
-    Well(u64),
-    /// Turns all away, as full, after this many milliseconds.
-    Full(u64),
-    /// Answers with an error after this many milliseconds.
-    Failing(u64),
-    /// Does not answer set-ups.
-    Silent,
-    /// Runs the session, and resets the connection in place of the answer.
-    Lost,
-    /// Runs the session, and answers with a line that cannot be read.
-    Noise,
-    /// Answers twice.
-    Twice,
 }
 
 struct State {
     id: String,
-    mood: Mood,
+    /// The time in which a set-up is answered.
+    work_ms: u64,
     /// The process at this address; a new one has a new number.
     process: u64,
     /// Nothing listens.
@@ -55,14 +35,9 @@
     /// Releases that go out on connections opened from now on, and on how many of them.
     repeat: BTreeMap<String, u32>,
     starts: Vec<Start>,
-    /// When sessions stood and when they ended here, by session.
-    spans: BTreeMap<String, (f64, Option<f64>)>,
     last_connection: u64,
+    /// Stands still: nothing is accepted, read or answered.
     hung: bool,
-    /// Cut off: what is written waits, and new connections do not come up.
-    cut_off: bool,
-    held: Vec<(u64, String)>,
-    fillers: Vec<TcpStream>,
 }
 
 pub struct Server {
@@ -73,12 +48,12 @@
 }
 
 impl Server {
-    pub fn start(record: &Record, id: &str, cell: usize, mood: Mood) -> Arc<Server> {
+    pub fn start(record: &Record, id: &str, cell: usize, work_ms: u64) -> Arc<Server> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| give_up(&error.to_string()));
         let address = listener.local_addr().unwrap();
         let state = State {
             id: id.to_string(),
-            mood,
+            work_ms,
             process: 1,
             closed: false,
             connections: BTreeMap::new(),
@@ -86,12 +61,8 @@
             standing: BTreeMap::new(),
             repeat: BTreeMap::new(),
             starts: Vec::new(),
-            spans: BTreeMap::new(),
             last_connection: 0,
             hung: false,
-            cut_off: false,
-            held: Vec::new(),
-            fillers: Vec::new(),
         };
         let server = Arc::new(Server { address, cell, state: Mutex::new(state), record: record.clone() });
         let accepting = server.clone();
@@ -103,10 +74,6 @@
         self.state.lock().unwrap().id.clone()
     }
 
-    pub fn set_mood(&self, mood: Mood) {
-        self.state.lock().unwrap().mood = mood;
-    }
-
     pub fn starts(&self) -> Vec<Start> {
         self.state.lock().unwrap().starts.clone()
     }
@@ -115,10 +82,6 @@
         self.state.lock().unwrap().standing.keys().cloned().collect()
     }
 
-    pub fn spans(&self) -> BTreeMap<String, (f64, Option<f64>)> {
-        self.state.lock().unwrap().spans.clone()
-    }
-
     pub fn connection_count(&self) -> usize {
         self.state.lock().unwrap().connections.len()
     }
@@ -127,12 +90,10 @@
     pub fn end_session(&self, session: &str) {
         let mut state = self.state.lock().unwrap();
         let Some(own) = state.standing.remove(session) else { return };
-        let now = self.record.now();
-        state.spans.entry(session.to_string()).and_modify(|span| span.1 = Some(now));
         let any = state.connections.keys().next_back().copied().unwrap_or(0);
         let on = if state.connections.contains_key(&own) { own } else { any };
         let sent =
-            write(&mut state, on, &format!("{{\"verb\":\"FINISH\",\"tag\":\"{session}\",\"opts\":{{}},\"rc\":16}}\n"));
+            write(&state, on, &format!("{{\"verb\":\"FINISH\",\"tag\":\"{session}\",\"opts\":{{}},\"rc\":16}}\n"));
         // On the next one opened as well; where none is open, on the next two.
         state.repeat.insert(session.to_string(), if sent { 1 } else { 2 });
         self.record.line(&format!("server {}: FINISH 16 {session}, sent now: {sent}", state.id));
@@ -140,8 +101,7 @@
 
     /// Returns whether nothing is read or accepted.
     fn stands_still(&self) -> bool {
-        let state = self.state.lock().unwrap();
-        state.hung || state.cut_off
+        self.state.lock().unwrap().hung
     }
 
     fn accept(self: Arc<Server>, first: TcpListener) {
@@ -159,7 +119,6 @@
                 crate::sleep_ms(5);
                 continue;
             };
-            sys::set_backlog(open.as_raw_fd(), if self.is_cut_off() { 0 } else { 128 });
             if self.stands_still() || !sys::readable(open.as_raw_fd(), 50) {
                 crate::sleep_ms(1);
                 continue;
@@ -183,7 +142,7 @@
         self.record.line(&format!("server {}: connection {number} opened", state.id));
         for (session, times) in std::mem::take(&mut state.repeat) {
             let line = format!("{{\"verb\":\"FINISH\",\"tag\":\"{session}\",\"opts\":{{}},\"rc\":16}}\n");
-            let sent = write(&mut state, number, &line);
+            let sent = write(&state, number, &line);
             self.record.line(&format!("server {}: FINISH 16 {session} on {number}, sent: {sent}", state.id));
             if times > 1 {
                 state.repeat.insert(session, times - 1);
@@ -205,6 +164,9 @@
             }
             self.clone().message(&mut state, number, &line);
         }
+        while self.stands_still() {
+            crate::sleep_ms(3);
+        }
         let mut state = self.state.lock().unwrap();
         if state.process == process {
             state.connections.remove(&number);
--- a/review/stand-ins-2/src/sys.rs
+++ b/review/stand-ins-2/src/sys.rs
@@ -10,7 +10,6 @@
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
-    fn listen(fd: i32, backlog: i32) -> i32;
     fn poll(fds: *mut PollFd, count: u64, timeout_ms: i32) -> i32;
 }
 
@@ -21,9 +20,7 @@
     revents: i16,
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -61,11 +58,6 @@
     unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr().cast(), 8) };
 }
 
-/// Sets how many connections may wait in a listener's queue.
-pub fn set_backlog(fd: RawFd, backlog: i32) {
-    unsafe { listen(fd, backlog) };
-}
-
 /// Waits until the descriptor is readable; returns whether it is.
 pub fn readable(fd: RawFd, timeout_ms: i32) -> bool {
     let mut entry = PollFd { fd, events: 1, revents: 0 };
--- a/review/stand-ins-2/src/viewer.rs
+++ b/review/stand-ins-2/src/viewer.rs
@@ -3,15 +3,13 @@
 use crate::record::Record;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// What one set-up led to.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    pub class: String,
-    pub title: String,
     pub patience_ms: u64,
     /// When its last byte was written.
     pub sent: f64,
@@ -19,8 +17,6 @@
     pub answers: Vec<(f64, u16)>,
     /// When the session was released by the manager.
     pub released: Option<f64>,
-    /// When its connection ended, if it did.
-    pub connection_ended: Option<f64>,
 }
 
 impl Outcome {
@@ -77,7 +73,6 @@
         let (Ok(mut writing), mut reader) = (stream.try_clone(), BufReader::new(stream.try_clone().unwrap())) else {
             return;
         };
-        let mut own: Vec<String> = Vec::new();
         while let Some((first, headers)) = read_head(&mut reader) {
             let length = header(&headers, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
             let mut body = vec![0u8; length];
@@ -85,7 +80,6 @@
                 break;
             }
             let session = header(&headers, "session").unwrap_or_default();
-            own.push(session.clone());
             let now = self.record.now();
             let cseq = header(&headers, "cseq").unwrap_or_default();
             self.record.line(&format!("viewer: got \"{first}\" CSeq {cseq} session {session}"));
@@ -103,13 +97,6 @@
                 _ = writing.write_all(answer.as_bytes());
             }
         }
-        let now = self.record.now();
-        let mut outcomes = self.outcomes.lock().unwrap();
-        for session in own {
-            if let Some(outcome) = outcomes.get_mut(&session) {
-                outcome.connection_ended = Some(now);
-            }
-        }
     }
 }
 
@@ -133,23 +120,11 @@
             return false;
         }
         let sent = self.viewers.record.now();
-        let (class, title, patience_ms) = (class.to_string(), title.to_string(), *patience_ms);
-        outcomes.insert(id.to_string(), Outcome { class, title, patience_ms, sent, ..Outcome::default() });
+        outcomes.insert(id.to_string(), Outcome { patience_ms: *patience_ms, sent, ..Outcome::default() });
         drop(outcomes);
         self.viewers.record.line(&format!("viewer: SETUP {id} title {} class {}", it.title, it.class));
         true
     }
-
-    /// Gives up a set-up, or ends a session.
-    pub fn tear_down(&mut self, id: &str) {
-        let text = format!("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\nContent-Length: 0\r\n\r\n");
-        _ = self.stream.write_all(text.as_bytes());
-        self.viewers.record.line(&format!("viewer: TEARDOWN {id}"));
-    }
-
-    pub fn close(&self) {
-        _ = self.stream.shutdown(Shutdown::Both);
-    }
 }
 
 fn read_head(reader: &mut impl BufRead) -> Option<(String, Vec<String>)> {
